feat(workspace): workspace, settings, environment document, platform clients and stand-ins

Cause: an empty repository. Change: strict TypeScript workspace with layer and verb lint rules; checked TOML settings; environment document with cross-reference checks; table, object and VM clients with breaker, write budget and read-back of lost answers; stand-ins.

--- /dev/null
+++ b/packages/environment/src/parse.ts
@@ -0,0 +1,130 @@
+import { createFault, FaultKind, type Fault } from '@currantgap/model';
+import { findNearest, parseToml, type TomlSource } from '@currantgap/settings';
+import { err, ok, type Result } from 'neverthrow';
+import type { z } from 'zod';
+import { Access, documentSchema, OPEN_TEAM, type EnvironmentDocument } from './document.ts';
+
+/** Parses an environment document and checks its cross-references; returns every fault. */
+export function parseDocument(source: TomlSource): Result<EnvironmentDocument, Fault[]> {
+  const parsed = parseToml(source, documentSchema as unknown as z.ZodType<EnvironmentDocument>);
+  if (parsed.isErr()) return err(parsed.error);
+  const faults = new DocumentCheck(source.fileName, parsed.value).run();
+  return faults.length === 0 ? ok(parsed.value) : err(faults);
+}
+
+/** Checks what the schema cannot: names that must exist, must be unique or must fit together. */
+class DocumentCheck {
+  readonly #fileName: string;
+  readonly #document: EnvironmentDocument;
+  readonly #faults: Fault[] = [];
+
+  constructor(fileName: string, document: EnvironmentDocument) {
+    this.#fileName = fileName;
+    this.#document = document;
+  }
+
+  run(): Fault[] {
+    this.#checkUniqueNames();
+    this.#checkServices();
+    this.#checkVms();
+    this.#checkPools();
+    return this.#faults;
+  }
+
+  #checkUniqueNames(): void {
+    this.#requireUnique('dataCentres', this.#document.dataCentres);
+    this.#requireUnique('pools', this.#document.pools);
+    this.#requireUnique('services', this.#document.services);
+    this.#requireUnique('teams', this.#document.teams);
+    this.#requireUnique('vms', this.#document.vms);
+  }
+
+  #checkServices(): void {
+    const pools = listNames(this.#document.pools);
+    const teams = listNames(this.#document.teams);
+    this.#document.services.forEach((service, index) => {
+      this.#requireKnown(`services[${index}].pool`, 'pool', service.pool, pools);
+      if (service.access === Access.Open && !teams.includes(OPEN_TEAM)) {
+        this.#add(
+          `services[${index}].access: "open" needs a team "${OPEN_TEAM}".`,
+          `Add a team "${OPEN_TEAM}" with a share and a limit, or write access = "team".`,
+        );
+      }
+      if (service.connections < service.slots) {
+        this.#add(
+          `services[${index}].connections: ${service.connections} is less than its ${service.slots} slots.`,
+          'Write at least as many connections as slots.',
+        );
+      }
+    });
+  }
+
+  #checkVms(): void {
+    const pools = listNames(this.#document.pools);
+    const dataCentres = listNames(this.#document.dataCentres);
+    const addresses = new Map<string, string>();
+    this.#document.vms.forEach((vm, index) => {
+      this.#requireKnown(`vms[${index}].pool`, 'pool', vm.pool, pools);
+      this.#requireKnown(`vms[${index}].dataCentre`, 'data centre', vm.dataCentre, dataCentres);
+      const holder = addresses.get(vm.address);
+      if (holder !== undefined) {
+        this.#add(
+          `vms[${index}].address: ${vm.address} is also the address of VM "${holder}".`,
+          'Give each VM an address of its own.',
+        );
+      }
+      addresses.set(vm.address, vm.name);
+    });
+  }
+
+  #checkPools(): void {
+    this.#document.pools.forEach((pool, index) => {
+      const size = this.#document.vms.filter((vm) => vm.pool === pool.name).length;
+      const serves = this.#document.services.some((service) => service.pool === pool.name);
+      if (serves && size === 0) {
+        this.#add(
+          `pools[${index}]: pool "${pool.name}" has no VM, so its services cannot be served.`,
+          'Add a VM to the pool.',
+        );
+      }
+      if (size > 0 && pool.maximumUnavailable >= size) {
+        this.#add(
+          `pools[${index}].maximumUnavailable: ${pool.maximumUnavailable} of ${size} VMs leaves none in service.`,
+          `Write at most ${size - 1}.`,
+        );
+      }
+    });
+  }
+
+  #requireUnique(place: string, items: readonly { readonly name: string }[]): void {
+    const seen = new Set<string>();
+    items.forEach((item, index) => {
+      if (seen.has(item.name)) {
+        this.#add(
+          `${place}[${index}].name: "${item.name}" is declared twice.`,
+          'Remove or rename one of the two.',
+        );
+      }
+      seen.add(item.name);
+    });
+  }
+
+  #requireKnown(place: string, kind: string, found: string, known: readonly string[]): void {
+    if (known.includes(found)) return;
+    const nearest = findNearest(found, known);
+    this.#add(
+      `${place}: unknown ${kind} "${found}".`,
+      nearest === undefined ? `Write one of ${known.join(', ')}.` : `Write "${nearest}".`,
+    );
+  }
+
+  #add(message: string, remedy: string): void {
+    this.#faults.push(
+      createFault(FaultKind.InvalidDocument, `${this.#fileName}: ${message}`, remedy),
+    );
+  }
+}
+
+function listNames(items: readonly { readonly name: string }[]): string[] {
+  return items.map((item) => item.name);
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,4 @@
+export * from './fault.ts';
+export type * from './names.ts';
+export * from './outcome.ts';
+export * from './random.ts';
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,7 @@
+export * from './breaker.ts';
+export * from './budget.ts';
+export * from './http-client.ts';
+export * from './http-objects.ts';
+export * from './http-table.ts';
+export * from './objects.ts';
+export * from './table.ts';
--- /dev/null
+++ b/packages/tasks/src/index.ts
@@ -0,0 +1,4 @@
+export * from './clock.ts';
+export * from './periodic.ts';
+export * from './task.ts';
+export * from './virtual-clock.ts';
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,3 @@
+export * from './log.ts';
+export * from './metrics.ts';
+export * from './traffic.ts';
--- /dev/null
+++ b/packages/telemetry/src/log.ts
@@ -0,0 +1,41 @@
+import { Roarr } from 'roarr';
+
+/** Fields of a log line. */
+export type LogContext = Readonly<Record<string, string | number | boolean>>;
+
+/** Writes JSON lines; each line carries the fields of the logger and of the call. */
+export class Logger {
+  readonly #context: LogContext;
+
+  constructor(context: LogContext = {}) {
+    this.#context = context;
+  }
+
+  /** Creates a logger whose lines carry further fields. */
+  createChild(context: LogContext): Logger {
+    return new Logger({ ...this.#context, ...context });
+  }
+
+  /** Writes a line about normal operation. */
+  writeInfo(message: string, context: LogContext = {}): void {
+    Roarr.info({ ...this.#context, ...context }, message);
+  }
+
+  /** Writes a line that an operator should look at. */
+  writeWarning(message: string, context: LogContext = {}): void {
+    Roarr.warn({ ...this.#context, ...context }, message);
+  }
+
+  /** Writes a line about a failure. */
+  writeError(message: string, context: LogContext = {}): void {
+    Roarr.error({ ...this.#context, ...context }, message);
+  }
+}
+
+/** Receives each log line without its newline. */
+export type LogSink = (line: string) => void;
+
+/** Sends the log lines of the process to `sink`. */
+export function setLogSink(sink: LogSink): void {
+  (globalThis as unknown as { ROARR: { write: LogSink } }).ROARR.write = sink;
+}
