--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { run } from './main.ts';
--- /dev/null
+++ b/packages/entry/src/announcer.ts
@@ -0,0 +1,72 @@
+import { ChangeAnnouncer, type Announcement, type LoggedChange } from '@currantgap/freshness';
+import { hasMajority, type View } from '@currantgap/membership';
+import type { Incarnation } from '@currantgap/model';
+import { encodeAnnouncement, encodeLoggedChange } from './codec.ts';
+import type { EntryCore } from './core.ts';
+import type { Peer } from './peers.ts';
+
+/** Tells peers of changes over the peer service. */
+export class PeerAnnouncer extends ChangeAnnouncer {
+  readonly #core: EntryCore;
+
+  constructor(core: EntryCore) {
+    super();
+    this.#core = core;
+  }
+
+  async announce(announcement: Announcement): Promise<boolean> {
+    const { current, gate } = this.#core;
+    const { view } = current;
+    if (view.epoch !== announcement.epoch || !current.isSeated) return false;
+    gate.announce(announcement);
+    return askMajority(this.#core, view, async (peer) => {
+      const answer = await peer.client.calls.announce({
+        announcement: encodeAnnouncement(announcement),
+      });
+      return answer.epoch === view.epoch;
+    });
+  }
+
+  withdraw(announcement: Announcement): void {
+    const { gate, peers, logger } = this.#core;
+    gate.resolve(announcement.id);
+    for (const peer of peers.list()) {
+      const request = { announcement: encodeAnnouncement(announcement), isWithdrawn: true };
+      peer.client.calls.announce(request).catch(() => {
+        logger.writeInfo('withdrawal not delivered', { peer: peer.seat.name });
+      });
+    }
+  }
+
+  publish(change: LoggedChange): void {
+    const { configuration, peers, logger } = this.#core;
+    void configuration.apply([change]);
+    const request = { committed: encodeLoggedChange(change) };
+    for (const peer of peers.list()) {
+      peer.client.calls.announce(request).catch(() => {
+        logger.writeInfo('change not pushed', { peer: peer.seat.name });
+      });
+    }
+  }
+}
+
+/** Asks every peer of a view and resolves as soon as a majority, this entry included, agrees. */
+export async function askMajority(
+  core: Pick<EntryCore, 'current' | 'peers'>,
+  view: View,
+  ask: (peer: Peer) => Promise<boolean>,
+): Promise<boolean> {
+  const supporters = new Set<Incarnation>([core.current.incarnation]);
+  if (hasMajority(view, supporters)) return true;
+  return new Promise((resolve) => {
+    const asked = core.peers.list().map(async (peer) => {
+      const agrees = await ask(peer).catch(() => false);
+      if (!agrees) return;
+      supporters.add(peer.seat.incarnation);
+      if (hasMajority(view, supporters)) resolve(true);
+    });
+    void Promise.all(asked).then(() => {
+      resolve(hasMajority(view, supporters));
+    });
+  });
+}
--- /dev/null
+++ b/packages/entry/src/assembly.ts
@@ -0,0 +1,125 @@
+import { Allowances } from '@currantgap/allowance';
+import { EnvironmentState } from '@currantgap/environment';
+import { Configuration, ConfigurationFollower, StartGate } from '@currantgap/freshness';
+import { Dispatcher, MessageKind } from '@currantgap/gateway';
+import { isSettled, listMembers, RowNames, ViewStore } from '@currantgap/membership';
+import { Random } from '@currantgap/model';
+import {
+  HttpClient,
+  HttpObjectStore,
+  HttpTableService,
+  type ObjectStore,
+} from '@currantgap/platform';
+import type { EntrySettings } from '@currantgap/settings';
+import { SystemClock } from '@currantgap/tasks';
+import { Logger, Metrics, TrafficMeter } from '@currantgap/telemetry';
+import { randomBytes, randomInt } from 'node:crypto';
+import type { EntryCore } from './core.ts';
+import { CurrentView } from './current-view.ts';
+import { PeerBorrower } from './peer-borrower.ts';
+import { Peers } from './peers.ts';
+import { PEER_TIMEOUT_MS } from './periods.ts';
+
+const MAXIMUM_SEED = 2 ** 31;
+const INCARNATION_BYTES = 4;
+
+/** An entry's core with the parts that only its lifecycle needs. */
+export interface Assembly {
+  readonly core: EntryCore;
+  readonly objects: ObjectStore;
+  /** Bytes exchanged with peers and the table. */
+  readonly traffic: TrafficMeter;
+}
+
+/** Creates the parts of an entry and connects them; nothing runs yet. */
+export function createAssembly(settings: EntrySettings): Assembly {
+  const clock = new SystemClock();
+  const random = new Random(randomInt(MAXIMUM_SEED));
+  const metrics = new Metrics();
+  const traffic = new TrafficMeter();
+  const incarnation = `${settings.entry.name}.${randomBytes(INCARNATION_BYTES).toString('hex')}`;
+  const logger = new Logger({ entry: settings.entry.name, incarnation });
+  const rows = new RowNames(settings.entry.environment);
+  const client = new HttpClient({ url: settings.platform.table, traffic });
+  const table = new HttpTableService({ client, clock, random });
+  const objects = new HttpObjectStore(new HttpClient({ url: settings.platform.objects, traffic }));
+  const current = new CurrentView(incarnation);
+  const gate = new StartGate(clock, settings.timing.freshnessBoundMs);
+  const borrower = new PeerBorrower();
+  const dispatcher = new Dispatcher({
+    clock,
+    gate,
+    allowances: new Allowances(incarnation, EnvironmentState.createEmpty()),
+    borrower,
+    metrics,
+    ownDataCentre: settings.entry.dataCentre,
+  });
+  const peers = new Peers({
+    clock,
+    self: incarnation,
+    key: settings.keys.peer,
+    timeoutMs: PEER_TIMEOUT_MS,
+    traffic,
+  });
+  const configuration = new Configuration({
+    objects,
+    findElsewhere: async (hash) => findDocument(peers, hash),
+    publish: (state) => {
+      metrics.configurationSequence.set(state.sequence);
+      dispatcher.post({ kind: MessageKind.Configure, state });
+    },
+    resolve: (id) => {
+      gate.resolve(id);
+    },
+    countRevert: () => {
+      metrics.refusedReverts.inc();
+    },
+  });
+  const follower = new ConfigurationFollower({ table, clock, rows, configuration });
+  const core: EntryCore = {
+    settings,
+    clock,
+    random,
+    logger,
+    metrics,
+    table,
+    rows,
+    views: new ViewStore(table, rows),
+    current,
+    gate,
+    configuration,
+    follower,
+    peers,
+    dispatcher,
+  };
+  borrower.connect(core);
+  connectView(core);
+  return { core, objects, traffic };
+}
+
+/** Makes peers and permits follow the view. */
+function connectView(core: EntryCore): void {
+  core.current.observe((view) => {
+    core.metrics.viewEpoch.set(view.epoch);
+    core.peers.setView(view);
+    core.dispatcher.post({
+      kind: MessageKind.Use,
+      use: (allowances) => {
+        allowances.setMembers(listMembers(view), isSettled(view));
+      },
+    });
+  });
+}
+
+/** Asks peers for a document that the object store could not give. */
+async function findDocument(peers: Peers, hash: string): Promise<string | undefined> {
+  for (const peer of peers.list()) {
+    try {
+      const answer = await peer.client.calls.getDocument({ hash });
+      if (answer.text !== '') return answer.text;
+    } catch {
+      continue;
+    }
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/entry/src/codec.ts
@@ -0,0 +1,119 @@
+import { GroupKind, type AllowanceReport, type Demand, type Holding } from '@currantgap/allowance';
+import { changeSchema, type EnvironmentState } from '@currantgap/environment';
+import type { Announcement, LoggedChange } from '@currantgap/freshness';
+import {
+  HoldingKind,
+  type Announcement as AnnouncementMessage,
+  type ExchangeMessage,
+  type LoggedChange as LoggedChangeMessage,
+} from '@currantgap/peer';
+import type { MessageInitShape } from '@bufbuild/protobuf';
+import type {
+  AnnouncementSchema,
+  ExchangeMessageSchema,
+  LoggedChangeSchema,
+} from '@currantgap/peer';
+
+/** Characters of a document's hash that tell whether two entries number services and teams alike. */
+const HASH_CHARACTERS = 8;
+
+/** What a message is created from. */
+export type ExchangeInit = Exclude<MessageInitShape<typeof ExchangeMessageSchema>, ExchangeMessage>;
+
+/** Encodes a report; services and teams go as their indexes in the document in force. */
+export function encodeReport(report: AllowanceReport, state: EnvironmentState): ExchangeInit {
+  const services = indexNames(state.document.services);
+  const teams = indexNames(state.document.teams);
+  return {
+    sequence: report.sequence,
+    isSettled: report.isSettled,
+    documentHash: state.documentHash.slice(0, HASH_CHARACTERS),
+    demands: report.demands.map((demand) => ({
+      service: services.get(demand.service) ?? 0,
+      team: teams.get(demand.team) ?? 0,
+      running: demand.running,
+      waiting: demand.waiting,
+    })),
+    holdings: report.holdings.map((holding) => ({
+      kind: encodeKind(holding.kind),
+      index: (holding.kind === GroupKind.Team ? teams : services).get(holding.name) ?? 0,
+      held: holding.held,
+    })),
+    overhangs: [...report.overhangs],
+    transfers: [...report.transfers],
+    acknowledged: [...report.acknowledged],
+  };
+}
+
+/** Decodes a report; demands and holdings under another document are left out. */
+export function decodeReport(message: ExchangeMessage, state: EnvironmentState): AllowanceReport {
+  const isSameDocument = message.documentHash === state.documentHash.slice(0, HASH_CHARACTERS);
+  return {
+    sequence: message.sequence,
+    isSettled: message.isSettled,
+    demands: isSameDocument ? decodeDemands(message, state) : [],
+    holdings: isSameDocument ? decodeHoldings(message, state) : [],
+    overhangs: message.overhangs,
+    transfers: message.transfers,
+    acknowledged: message.acknowledged,
+  };
+}
+
+/** Encodes the kind of a group of permits. */
+export function encodeKind(kind: GroupKind): HoldingKind {
+  return kind === GroupKind.Team ? HoldingKind.TEAM : HoldingKind.SERVICE;
+}
+
+/** Decodes the kind of a group of permits. */
+export function decodeKind(kind: HoldingKind): GroupKind {
+  return kind === HoldingKind.TEAM ? GroupKind.Team : GroupKind.Service;
+}
+
+/** Encodes an announcement. */
+export function encodeAnnouncement(
+  announcement: Announcement,
+): MessageInitShape<typeof AnnouncementSchema> {
+  return { ...announcement, change: JSON.stringify(announcement.change) };
+}
+
+/** Decodes an announcement. Throws on a change that no entry encodes. */
+export function decodeAnnouncement(message: AnnouncementMessage): Announcement {
+  const change = changeSchema.parse(JSON.parse(message.change));
+  return { id: message.id, epoch: message.epoch, change };
+}
+
+/** Encodes a logged change. */
+export function encodeLoggedChange(
+  logged: LoggedChange,
+): MessageInitShape<typeof LoggedChangeSchema> {
+  return { ...logged, change: JSON.stringify(logged.change) };
+}
+
+/** Decodes a logged change. Throws on a change that no entry encodes. */
+export function decodeLoggedChange(message: LoggedChangeMessage): LoggedChange {
+  const change = changeSchema.parse(JSON.parse(message.change));
+  return { sequence: message.sequence, id: message.id, change };
+}
+
+function decodeDemands(message: ExchangeMessage, state: EnvironmentState): Demand[] {
+  const { services, teams } = state.document;
+  return message.demands.flatMap(({ service, team, running, waiting }) => {
+    const serviceName = services[service]?.name;
+    const teamName = teams[team]?.name;
+    if (serviceName === undefined || teamName === undefined) return [];
+    return [{ service: serviceName, team: teamName, running, waiting }];
+  });
+}
+
+function decodeHoldings(message: ExchangeMessage, state: EnvironmentState): Holding[] {
+  const { services, teams } = state.document;
+  return message.holdings.flatMap(({ kind, index, held }) => {
+    const group = decodeKind(kind);
+    const name = (group === GroupKind.Team ? teams : services)[index]?.name;
+    return name === undefined ? [] : [{ kind: group, name, held }];
+  });
+}
+
+function indexNames(items: readonly { readonly name: string }[]): Map<string, number> {
+  return new Map(items.map((item, index) => [item.name, index]));
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,1 @@
+export * from './entry.ts';
--- /dev/null
+++ b/packages/entry/src/status.ts
@@ -0,0 +1,35 @@
+import { formatTeamResource } from '@currantgap/allowance';
+import { isSettled } from '@currantgap/membership';
+import type { EntryStatus, TeamList } from '@currantgap/operator';
+import { useAllowances, type EntryCore } from './core.ts';
+
+/** Describes the state of an entry to operators. */
+export function describeStatus(core: EntryCore): EntryStatus {
+  const { settings, current, configuration, gate, clock } = core;
+  const freshForMs = gate.freshUntil - clock.now;
+  return {
+    entry: settings.entry.name,
+    environment: settings.entry.environment,
+    incarnation: current.incarnation,
+    epoch: current.view.epoch,
+    sequence: configuration.state.sequence,
+    documentHash: configuration.state.documentHash,
+    freshForMs: Number.isFinite(freshForMs) ? Math.round(freshForMs) : -1,
+    isSettled: isSettled(current.view),
+    members: current.view.seats,
+  };
+}
+
+/** Lists the teams with their use, as far as this entry knows. */
+export async function listTeams(core: EntryCore): Promise<TeamList> {
+  const { teams } = core.configuration.state.document;
+  return useAllowances(core, (allowances) => ({
+    teams: teams.map(({ name, share, limit }) => ({
+      name,
+      share,
+      limit,
+      running: allowances.countTeamRunning(name),
+      held: allowances.count(formatTeamResource(name)).held,
+    })),
+  }));
+}
--- a/packages/environment/src/state.ts
+++ b/packages/environment/src/state.ts
@@ -50,6 +50,18 @@
     this.#vmsLeaving = new Set(snapshot.vmsLeaving);
   }
 
+  /** Creates the state before any document was applied. */
+  static createEmpty(): EnvironmentState {
+    const snapshot = {
+      sequence: 0,
+      documentHash: '',
+      keys: [],
+      dataCentresOut: [],
+      vmsLeaving: [],
+    };
+    return new EnvironmentState(snapshot, EMPTY_DOCUMENT);
+  }
+
   /** Finds the team that a key was granted to; undefined when withdrawn or unknown. */
   findTeamOfKey(keyHash: string): Team | undefined {
     const name = this.#keys.get(keyHash);
@@ -149,6 +161,14 @@
   }
 }
 
+const EMPTY_DOCUMENT: EnvironmentDocument = {
+  dataCentres: [],
+  pools: [],
+  services: [],
+  teams: [],
+  vms: [],
+};
+
 type SmallChange = Exclude<Change, { kind: ChangeKind.ApplyDocument }>;
 
 function applySmallChange(snapshot: EnvironmentSnapshot, change: SmallChange): EnvironmentSnapshot {
--- /dev/null
+++ b/packages/features/steps/path-steps.ts
@@ -0,0 +1,91 @@
+import { ChangeKind, hashKey } from '@currantgap/environment';
+import { MANTOJUMA, createDocument } from '@currantgap/standins';
+import { Given, Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import type { FleetWorld } from './world.ts';
+
+Given('a fleet with {int} entries', async function (this: FleetWorld, count: number) {
+  await this.startFleet(count);
+});
+
+When(
+  'team {string} sends {int} requests to {string} at every entry',
+  async function (this: FleetWorld, team: string, count: number, service: string) {
+    const calls = this.fleet.entries.flatMap((_, entry) =>
+      Array.from({ length: count }, async () => this.send(team, service, entry)),
+    );
+    this.answers = await Promise.all(calls);
+  },
+);
+
+Then(
+  'every answer is whole and carries the outcome {string}',
+  function (this: FleetWorld, outcome: string) {
+    assert.ok(this.answers.length > 0);
+    for (const answer of this.answers) {
+      assert.equal(answer.outcome, outcome);
+      assert.equal((JSON.parse(answer.body) as { echo: string }).echo, 'payload');
+    }
+  },
+);
+
+Then('no request ran twice', function (this: FleetWorld) {
+  const runs = this.listRuns();
+  assert.equal(new Set(runs).size, runs.length);
+  assert.equal(runs.length, this.answers.length);
+});
+
+When(
+  'a request without a key is sent to {string}',
+  async function (this: FleetWorld, service: string) {
+    this.answers = [await this.send(undefined, service, 0)];
+  },
+);
+
+Then(
+  'it is refused with status {int} and the outcome {string}',
+  function (this: FleetWorld, status: number, outcome: string) {
+    assert.deepEqual([this.answers[0]?.status, this.answers[0]?.outcome], [status, outcome]);
+    assert.deepEqual(this.listRuns(), []);
+  },
+);
+
+Then('it is answered with the outcome {string}', function (this: FleetWorld, outcome: string) {
+  assert.equal(this.answers[0]?.outcome, outcome);
+});
+
+When(
+  'the key of team {string} is withdrawn at entry {int}',
+  async function (this: FleetWorld, team: string, entry: number) {
+    const keyHash = hashKey(this.fleet.keys.get(team) ?? '');
+    const sequence = await this.fleet.change({ kind: ChangeKind.WithdrawKey, keyHash }, entry - 1);
+    await this.fleet.waitForSequence(sequence);
+  },
+);
+
+Then(
+  'requests of team {string} to {string} are refused with status {int} at every entry',
+  async function (this: FleetWorld, team: string, service: string, status: number) {
+    const before = this.listRuns().length;
+    for (const entry of this.fleet.entries.keys()) {
+      const answer = await this.send(team, service, entry);
+      assert.deepEqual([answer.status, answer.outcome], [status, 'not-run']);
+    }
+    assert.equal(this.listRuns().length, before);
+  },
+);
+
+When(
+  'data centre {string} is taken out at entry {int}',
+  async function (this: FleetWorld, dataCentre: string, entry: number) {
+    const change = { kind: ChangeKind.TakeOutDataCentre, dataCentre } as const;
+    const sequence = await this.fleet.change(change, entry - 1);
+    await this.fleet.waitForSequence(sequence);
+  },
+);
+
+Then('nothing ran in data centre {string}', function (this: FleetWorld, dataCentre: string) {
+  const vms = createDocument(MANTOJUMA, () => '').vms.filter((vm) => vm.dataCentre === dataCentre);
+  assert.ok(vms.length > 0);
+  assert.deepEqual(this.listRuns(vms.map((vm) => vm.name)), []);
+});
--- /dev/null
+++ b/packages/gateway/src/caller-exchange.ts
@@ -0,0 +1,162 @@
+import {
+  FaultKind,
+  OUTCOME_HEADER,
+  Outcome,
+  createFault,
+  type Fault,
+  type Instant,
+} from '@currantgap/model';
+import type { Vm } from '@currantgap/environment';
+import type { RetryBudget } from '@currantgap/routing';
+import type { Clock } from '@currantgap/tasks';
+import type { Logger, Metrics } from '@currantgap/telemetry';
+import type { ServerResponse } from 'node:http';
+import type { Writable } from 'node:stream';
+import { AnswerSink, type AnswerHead, type SendResult } from './answer.ts';
+import { ClaimState, type Claim, type ClaimStore } from './claims.ts';
+import type { Dispatcher } from './dispatcher.ts';
+import { MessageKind } from './messages.ts';
+import { RequestHandler, SendStatus, type PendingRequest } from './pending-request.ts';
+import { sendRefusal } from './refusal.ts';
+import type { Relay } from './relay.ts';
+
+/** What the exchanges of one entry share. */
+export interface ExchangeContext {
+  readonly clock: Clock;
+  readonly dispatcher: Dispatcher;
+  readonly relay: Relay;
+  readonly claims: ClaimStore;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  /** Gets the retry budget of a service. */
+  readonly getBudget: (service: string) => RetryBudget;
+}
+
+const MS_PER_SECOND = 1_000;
+const MAXIMUM_SENDS = 3;
+
+/** The exchange with one caller: runs its request and answers it once, truthfully. */
+export class CallerExchange extends RequestHandler {
+  readonly #context: ExchangeContext;
+  readonly #response: ServerResponse;
+  readonly #claim: Claim | undefined;
+
+  constructor(context: ExchangeContext, response: ServerResponse, claim: Claim | undefined) {
+    super();
+    this.#context = context;
+    this.#response = response;
+    this.#claim = claim;
+  }
+
+  get isAbandoned(): boolean {
+    return this.#response.destroyed;
+  }
+
+  start(request: PendingRequest, vm: Vm, startedAt: Instant): void {
+    if (request.sends === 1) this.#context.getBudget(request.service.name).recordFirstSend();
+    else this.#context.metrics.retries.inc({ service: request.service.name });
+    void this.#run(request, vm, startedAt);
+  }
+
+  refuse(request: PendingRequest, fault: Fault): void {
+    const outcome = request.mayHaveRun ? Outcome.Unknown : Outcome.NotRun;
+    this.#finish(request, outcome, fault.kind);
+    sendRefusal(this.#response, fault, outcome);
+  }
+
+  async #run(request: PendingRequest, vm: Vm, startedAt: Instant): Promise<void> {
+    const { relay, dispatcher, clock } = this.#context;
+    const result = await relay.send(request, vm, new ResponseSink(this.#response));
+    if (result.status === SendStatus.Lost || result.status === SendStatus.Failed) {
+      request.mayHaveRun = true;
+    }
+    const isRetried = this.#shouldRetry(request, result);
+    if (isRetried) dispatcher.post({ kind: MessageKind.Arrive, request, isRetry: true });
+    const runMs = clock.now - startedAt;
+    const { status } = result;
+    dispatcher.post({ kind: MessageKind.Finish, request, vm: vm.name, status, runMs });
+    if (!isRetried) this.#answer(request, result);
+  }
+
+  /** Idempotent requests and those that surely did not run are sent again, within the budget. */
+  #shouldRetry(request: PendingRequest, result: SendResult): boolean {
+    if (result.status === SendStatus.Answered || result.isStreamed === true) return false;
+    if (result.status !== SendStatus.NotRun && !request.isIdempotent) return false;
+    if (request.sends >= MAXIMUM_SENDS || this.isAbandoned) return false;
+    if (request.deadline <= this.#context.clock.now) return false;
+    return this.#context.getBudget(request.service.name).take();
+  }
+
+  #answer(request: PendingRequest, result: SendResult): void {
+    if (result.isStreamed === true) {
+      const isWhole = result.status !== SendStatus.Lost;
+      this.#finish(request, isWhole ? Outcome.Ran : Outcome.Unknown, result.status);
+      return;
+    }
+    if (result.answer === undefined) {
+      this.refuse(request, result.fault ?? createLostFault());
+      return;
+    }
+    const { status, headers, body } = result.answer;
+    this.#finish(request, Outcome.Ran, result.status);
+    if (this.#response.destroyed) return;
+    this.#response.writeHead(status, {
+      ...headers,
+      'content-length': body.length,
+      [OUTCOME_HEADER]: Outcome.Ran,
+    });
+    this.#response.end(body);
+  }
+
+  #finish(request: PendingRequest, outcome: Outcome, reason: string): void {
+    const { metrics, logger, clock, claims } = this.#context;
+    const labels = { team: request.team, service: request.service.name };
+    const totalMs = clock.now - request.arrivedAt;
+    metrics.requests.inc({ ...labels, outcome, reason });
+    metrics.totalSeconds.observe(labels, totalMs / MS_PER_SECOND);
+    if (this.#claim !== undefined) void claims.record(this.#claim, toClaimState(outcome));
+    logger.writeInfo('request', {
+      ...labels,
+      requestId: request.id,
+      outcome,
+      reason,
+      sends: request.sends,
+      totalMs: Math.round(totalMs),
+    });
+  }
+}
+
+/** Streams a large answer to the caller. */
+class ResponseSink extends AnswerSink {
+  readonly #response: ServerResponse;
+
+  constructor(response: ServerResponse) {
+    super();
+    this.#response = response;
+  }
+
+  open(head: AnswerHead): Writable | undefined {
+    if (this.#response.destroyed) return undefined;
+    this.#response.writeHead(head.status, { ...head.headers, [OUTCOME_HEADER]: Outcome.Ran });
+    return this.#response;
+  }
+}
+
+function toClaimState(outcome: Outcome): ClaimState {
+  switch (outcome) {
+    case Outcome.Ran:
+      return ClaimState.Ran;
+    case Outcome.Unknown:
+      return ClaimState.Unknown;
+    case Outcome.NotRun:
+      return ClaimState.Released;
+  }
+}
+
+function createLostFault(): Fault {
+  return createFault(
+    FaultKind.OutcomeUnknown,
+    'No whole answer came from the target.',
+    'Check whether the request took effect before sending it again.',
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/caller-listener.ts
@@ -0,0 +1,282 @@
+import {
+  Access,
+  hashKey,
+  type EnvironmentState,
+  type Service,
+  type Team,
+} from '@currantgap/environment';
+import type { RowNames } from '@currantgap/membership';
+import { FaultKind, Outcome, TIMEOUT_HEADER, createFault, type Fault } from '@currantgap/model';
+import type { EntrySettings } from '@currantgap/settings';
+import { randomUUID } from 'node:crypto';
+import { err, ok, type Result } from 'neverthrow';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { readBody } from './body.ts';
+import { CallerExchange, type ExchangeContext } from './caller-exchange.ts';
+import { ClaimState, type Claim } from './claims.ts';
+import { MessageKind } from './messages.ts';
+import type { PendingRequest } from './pending-request.ts';
+import { sendRefusal } from './refusal.ts';
+
+/** Options of the caller listener. */
+export interface CallerListenerOptions extends ExchangeContext {
+  readonly limits: EntrySettings['limits'];
+  readonly rows: RowNames;
+  /** Gets the configuration in force. */
+  readonly getState: () => EnvironmentState;
+  /** Whether this entry may start anything now. */
+  readonly isFresh: () => boolean;
+}
+
+/** Who sends a request and for what. */
+interface Admission {
+  readonly team: Team;
+  readonly service: Service;
+  readonly keyHash: string | undefined;
+  readonly timeoutMs: number;
+}
+
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
+  'GET',
+  'HEAD',
+  'PUT',
+  'DELETE',
+  'OPTIONS',
+]);
+const HEADERS_TIMEOUT_MS = 5_000;
+const KEEP_ALIVE_MS = 30_000;
+const MAXIMUM_HEADER_BYTES = 16_384;
+const MAXIMUM_CONNECTIONS = 4_096;
+const BEARER = 'Bearer ';
+
+/** Listens to callers, admits their requests and hands them to the dispatcher. */
+export class CallerListener {
+  readonly #options: CallerListenerOptions;
+  readonly #server: Server;
+  #isStopping = false;
+
+  constructor(options: CallerListenerOptions) {
+    this.#options = options;
+    this.#server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, (request, response) => {
+      void this.#handle(request, response);
+    });
+    this.#server.headersTimeout = HEADERS_TIMEOUT_MS;
+    this.#server.requestTimeout = options.limits.maximumTimeoutMs;
+    this.#server.keepAliveTimeout = KEEP_ALIVE_MS;
+    this.#server.maxConnections = MAXIMUM_CONNECTIONS;
+  }
+
+  /** Listens on an address and returns the port taken. */
+  async listen(host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Closes each connection after its present answer, so that callers open new ones elsewhere. */
+  drain(): void {
+    this.#isStopping = true;
+    this.#server.closeIdleConnections();
+  }
+
+  /** Stops listening. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.#isStopping) response.setHeader('connection', 'close');
+    const admission = this.#admit(request);
+    if (admission.isErr()) {
+      this.#refuse(request, response, admission.error);
+      return;
+    }
+    const body = await readBody(request, this.#options.limits.bodyBytes);
+    if (body.isErr()) {
+      this.#refuse(request, response, body.error);
+      return;
+    }
+    await this.#accept(request, response, admission.value, body.value);
+  }
+
+  async #accept(
+    request: IncomingMessage,
+    response: ServerResponse,
+    admission: Admission,
+    body: Buffer,
+  ): Promise<void> {
+    const { clock } = this.#options;
+    const arrivedAt = clock.now;
+    const claim = await this.#claim(request, admission);
+    if (claim.isErr()) {
+      sendRefusal(response, claim.error.fault, claim.error.outcome);
+      return;
+    }
+    const pending: PendingRequest = {
+      id: randomUUID(),
+      team: admission.team.name,
+      service: admission.service,
+      keyHash: admission.keyHash,
+      arrivedAt,
+      deadline: arrivedAt + admission.timeoutMs,
+      content: {
+        method: request.method ?? 'GET',
+        path: formatTargetPath(request.url ?? '/'),
+        headers: request.headers,
+        body,
+      },
+      isIdempotent: isIdempotent(request),
+      handler: new CallerExchange(this.#options, response, claim.value),
+      sends: 0,
+      mayHaveRun: false,
+      lastVm: undefined,
+    };
+    const isPosted = this.#options.dispatcher.post({
+      kind: MessageKind.Arrive,
+      request: pending,
+      isRetry: false,
+    });
+    if (!isPosted) pending.handler.refuse(pending, createFullFault(admission.team.name));
+  }
+
+  /** Everything that can be refused is refused before the body is read. */
+  #admit(request: IncomingMessage): Result<Admission, Fault> {
+    const state = this.#options.getState();
+    const name = (request.url ?? '/').split(/[/?]/)[1] ?? '';
+    const service = state.findService(name);
+    if (service === undefined) return err(createServiceFault(name));
+    return this.#authenticate(request, service, state).andThen(({ team, keyHash }) => {
+      const timeoutMs = this.#parseTimeout(request);
+      if (timeoutMs.isErr()) return err(timeoutMs.error);
+      const fault = this.#findOverload(service, team, timeoutMs.value);
+      if (fault !== undefined) return err(fault);
+      return ok({ team, service, keyHash, timeoutMs: timeoutMs.value });
+    });
+  }
+
+  #authenticate(
+    request: IncomingMessage,
+    service: Service,
+    state: EnvironmentState,
+  ): Result<Pick<Admission, 'team' | 'keyHash'>, Fault> {
+    const { authorization } = request.headers;
+    if (authorization === undefined && service.access === Access.Open) {
+      const team = state.findOpenTeam();
+      return team === undefined ? err(createKeyFault()) : ok({ team, keyHash: undefined });
+    }
+    if (authorization?.startsWith(BEARER) !== true) return err(createKeyFault());
+    const keyHash = hashKey(authorization.slice(BEARER.length));
+    const team = state.findTeamOfKey(keyHash);
+    return team === undefined ? err(createKeyFault()) : ok({ team, keyHash });
+  }
+
+  #parseTimeout(request: IncomingMessage): Result<number, Fault> {
+    const { defaultTimeoutMs, maximumTimeoutMs } = this.#options.limits;
+    const header = request.headers[TIMEOUT_HEADER];
+    if (header === undefined) return ok(defaultTimeoutMs);
+    const timeoutMs = Number(header);
+    if (Number.isInteger(timeoutMs) && timeoutMs > 0 && timeoutMs <= maximumTimeoutMs) {
+      return ok(timeoutMs);
+    }
+    return err(
+      createFault(
+        FaultKind.InvalidRequest,
+        `The header ${TIMEOUT_HEADER} is not a number of milliseconds.`,
+        `Write a whole number from 1 to ${maximumTimeoutMs}.`,
+      ),
+    );
+  }
+
+  #findOverload(service: Service, team: Team, timeoutMs: number): Fault | undefined {
+    const { dispatcher, limits, isFresh } = this.#options;
+    if (!isFresh()) return createStaleFault();
+    if (dispatcher.countWaiting(service.name, team.name) >= limits.queueLength) {
+      return createFullFault(team.name);
+    }
+    if (dispatcher.isHopeless(service.name, team.name, timeoutMs)) {
+      return createFullFault(team.name);
+    }
+    return undefined;
+  }
+
+  async #claim(
+    request: IncomingMessage,
+    admission: Admission,
+  ): Promise<Result<Claim | undefined, { fault: Fault; outcome: Outcome }>> {
+    const key = request.headers['idempotency-key'];
+    if (typeof key !== 'string' || IDEMPOTENT_METHODS.has(request.method ?? '')) {
+      return ok(undefined);
+    }
+    const { rows, claims } = this.#options;
+    const rowKey = rows.formatClaim(admission.service.name, admission.team.name, hashKey(key));
+    const answer = await claims.claim(rowKey);
+    if (answer.isErr()) return err({ fault: answer.error, outcome: Outcome.NotRun });
+    if ('claim' in answer.value) return ok(answer.value.claim);
+    const hasRun = answer.value.heldIn === ClaimState.Ran;
+    return err({ fault: createHeldFault(), outcome: hasRun ? Outcome.Ran : Outcome.Unknown });
+  }
+
+  #refuse(request: IncomingMessage, response: ServerResponse, fault: Fault): void {
+    this.#options.metrics.requests.inc({
+      team: '',
+      service: '',
+      outcome: Outcome.NotRun,
+      reason: fault.kind,
+    });
+    if (!request.complete) response.setHeader('connection', 'close');
+    sendRefusal(response, fault, Outcome.NotRun);
+  }
+}
+
+function isIdempotent(request: IncomingMessage): boolean {
+  return IDEMPOTENT_METHODS.has(request.method ?? '');
+}
+
+function formatTargetPath(url: string): string {
+  const rest = url.slice(1).replace(/^[^/?]*/, '');
+  return rest.startsWith('/') ? rest : `/${rest}`;
+}
+
+function createServiceFault(name: string): Fault {
+  return createFault(
+    FaultKind.NotFound,
+    `There is no service "${name}".`,
+    'Begin the path with the name of a service, such as /kartes/.',
+  );
+}
+
+function createKeyFault(): Fault {
+  return createFault(
+    FaultKind.Unauthorised,
+    'The request carries no valid key of a team.',
+    'Send "Authorization: Bearer KEY" with a key that an operator granted.',
+  );
+}
+
+function createFullFault(team: string): Fault {
+  return createFault(
+    FaultKind.Overloaded,
+    `Team "${team}" has more waiting than could be answered in time.`,
+    'Send the request again later, or with a longer timeout.',
+  );
+}
+
+function createStaleFault(): Fault {
+  return createFault(
+    FaultKind.Unavailable,
+    'This entry cannot learn of configuration changes at present and starts nothing.',
+    'Send the request again; the balancer will choose another entry.',
+  );
+}
+
+function createHeldFault(): Fault {
+  return createFault(
+    FaultKind.Conflict,
+    'A request with this idempotency key was accepted before.',
+    'Read its outcome from the outcome header; use a new key for a new request.',
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/relay.ts
@@ -0,0 +1,194 @@
+import type { Service, Vm } from '@currantgap/environment';
+import {
+  FaultKind,
+  OUTCOME_HEADER,
+  Outcome,
+  REQUEST_ID_HEADER,
+  TIMEOUT_HEADER,
+  createFault,
+  type Fault,
+} from '@currantgap/model';
+import { parseAddress } from '@currantgap/settings';
+import type { Clock } from '@currantgap/tasks';
+import { once } from 'node:events';
+import { Agent, request as openRequest, type ClientRequest, type IncomingMessage } from 'node:http';
+import type { Writable } from 'node:stream';
+import { collectHeaders, type AnswerHead, type AnswerSink, type SendResult } from './answer.ts';
+import { SendStatus, type PendingRequest } from './pending-request.ts';
+
+/** Largest answer in bytes that is held in memory before it goes to the caller. */
+export const MAXIMUM_HELD_ANSWER_BYTES = 262_144;
+
+const FIRST_SERVER_ERROR = 500;
+
+/** Sends requests to targets over kept connections, one request on a connection at a time. */
+export class Relay {
+  readonly #clock: Clock;
+  readonly #agents = new Map<string, Agent>();
+  #entryCount = 1;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Sets among how many entries the connections of a target are divided. */
+  setEntryCount(count: number): void {
+    this.#entryCount = Math.max(1, count);
+  }
+
+  /** Sends a request to the target on a VM and reads the answer. Never throws. */
+  async send(request: PendingRequest, vm: Vm, sink: AnswerSink): Promise<SendResult> {
+    const attempt = new Attempt(this.#getAgent(vm, request.service), request, vm, sink);
+    const timer = this.#clock.schedule(request.deadline, () => {
+      attempt.abandon('the deadline passed');
+    });
+    const result = await attempt.run(Math.max(1, Math.floor(request.deadline - this.#clock.now)));
+    timer.stop();
+    return result;
+  }
+
+  /** Closes all kept connections. */
+  close(): void {
+    for (const agent of this.#agents.values()) agent.destroy();
+  }
+
+  #getAgent(vm: Vm, service: Service): Agent {
+    const key = `${service.name} ${vm.address}`;
+    const known = this.#agents.get(key);
+    const agent = known ?? new Agent({ keepAlive: true, scheduling: 'lifo' });
+    agent.maxFreeSockets = this.#computeIdleConnections(service);
+    this.#agents.set(key, agent);
+    return agent;
+  }
+
+  /** Connections in use are bounded by slots; each entry keeps its part of the others idle. */
+  #computeIdleConnections(service: Service): number {
+    return Math.max(1, Math.floor((service.connections - service.slots) / this.#entryCount));
+  }
+}
+
+/** One send of one request. */
+class Attempt {
+  readonly #outgoing: ClientRequest;
+  readonly #request: PendingRequest;
+  readonly #vm: Vm;
+  readonly #sink: AnswerSink;
+  #hasConnected = false;
+  #stream: Writable | undefined;
+
+  constructor(agent: Agent, request: PendingRequest, vm: Vm, sink: AnswerSink) {
+    this.#request = request;
+    this.#vm = vm;
+    this.#sink = sink;
+    const { host, port } = parseAddress(vm.address);
+    const { method, path } = request.content;
+    this.#outgoing = openRequest({ agent, host, port, method, path });
+    this.#outgoing.on('socket', (socket) => {
+      if (!socket.connecting) this.#hasConnected = true;
+      else socket.once('connect', () => (this.#hasConnected = true));
+    });
+  }
+
+  /** Destroys the connection, so that it is never used for another request. */
+  abandon(reason: string): void {
+    this.#outgoing.destroy(new Error(reason));
+  }
+
+  async run(timeoutMs: number): Promise<SendResult> {
+    try {
+      const incoming = await this.#sendRequest(timeoutMs);
+      return await this.#readAnswer(incoming);
+    } catch (error) {
+      this.#outgoing.destroy();
+      this.#stream?.destroy();
+      return this.#describeFailure(error instanceof Error ? error.message : String(error));
+    }
+  }
+
+  async #sendRequest(timeoutMs: number): Promise<IncomingMessage> {
+    const { content, id } = this.#request;
+    const headers = collectHeaders(content.headers);
+    for (const [name, value] of Object.entries(headers)) {
+      if (value !== undefined) this.#outgoing.setHeader(name, value);
+    }
+    this.#outgoing.setHeader(REQUEST_ID_HEADER, id);
+    this.#outgoing.setHeader(TIMEOUT_HEADER, String(timeoutMs));
+    this.#outgoing.setHeader('content-length', content.body.length);
+    return new Promise((resolve, reject) => {
+      this.#outgoing.on('response', resolve);
+      this.#outgoing.on('error', reject);
+      this.#outgoing.end(content.body);
+    });
+  }
+
+  async #readAnswer(incoming: IncomingMessage): Promise<SendResult> {
+    if (incoming.headers[REQUEST_ID_HEADER] !== this.#request.id) {
+      throw new Error('the answer belongs to another request');
+    }
+    const head: AnswerHead = {
+      status: incoming.statusCode ?? FIRST_SERVER_ERROR,
+      headers: collectHeaders(incoming.headers),
+    };
+    const body = await this.#readBody(incoming, head);
+    if (!incoming.complete) throw new Error('the answer was cut off');
+    if (incoming.headers[OUTCOME_HEADER] === Outcome.NotRun) return this.#describeRefusal();
+    const status = head.status < FIRST_SERVER_ERROR ? SendStatus.Answered : SendStatus.Failed;
+    if (this.#stream === undefined) return { status, answer: { ...head, body } };
+    this.#stream.end();
+    return { status, isStreamed: true };
+  }
+
+  /** Reads the body into memory, or through to the caller once it has grown too large. */
+  async #readBody(incoming: IncomingMessage, head: AnswerHead): Promise<Buffer> {
+    const held: Buffer[] = [];
+    let heldBytes = 0;
+    for await (const data of incoming) {
+      const chunk = data as Buffer;
+      if (this.#stream !== undefined) {
+        await writeChunk(this.#stream, chunk);
+        continue;
+      }
+      held.push(chunk);
+      heldBytes += chunk.length;
+      if (heldBytes <= MAXIMUM_HELD_ANSWER_BYTES) continue;
+      this.#stream = this.#sink.open(head);
+      if (this.#stream === undefined) throw new Error('the caller has gone');
+      await writeChunk(this.#stream, Buffer.concat(held));
+    }
+    return this.#stream === undefined ? Buffer.concat(held) : Buffer.alloc(0);
+  }
+
+  #describeRefusal(): SendResult {
+    const fault = createFault(
+      FaultKind.Unavailable,
+      `The target on VM ${this.#vm.name} refused the request and did not run it.`,
+      'Send it again later.',
+    );
+    return { status: SendStatus.NotRun, fault };
+  }
+
+  #describeFailure(reason: string): SendResult {
+    if (!this.#hasConnected) {
+      return { status: SendStatus.NotRun, fault: createConnectFault(this.#vm.name, reason) };
+    }
+    const fault = createFault(
+      FaultKind.OutcomeUnknown,
+      `No whole answer came from VM ${this.#vm.name}: ${reason}.`,
+      'Check whether the request took effect before sending it again.',
+    );
+    return { status: SendStatus.Lost, fault, isStreamed: this.#stream !== undefined };
+  }
+}
+
+async function writeChunk(stream: Writable, chunk: Buffer): Promise<void> {
+  if (stream.destroyed) throw new Error('the caller has gone');
+  if (!stream.write(chunk)) await once(stream, 'drain');
+}
+
+function createConnectFault(vm: string, reason: string): Fault {
+  return createFault(
+    FaultKind.Unavailable,
+    `VM ${vm} could not be reached: ${reason}.`,
+    'Send the request again later.',
+  );
+}
--- /dev/null
+++ b/packages/operator/src/listener.ts
@@ -0,0 +1,138 @@
+import { FaultKind, createFault, type Fault } from '@currantgap/model';
+import type { Logger, Metrics } from '@currantgap/telemetry';
+import { timingSafeEqual } from 'node:crypto';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { err, type Result } from 'neverthrow';
+import { OperatorPath, parsePath } from './api.ts';
+import type { OperatorService } from './service.ts';
+
+/** Options of the operator listener. */
+export interface OperatorListenerOptions {
+  readonly service: OperatorService;
+  readonly key: string;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+  /** Whether this process works at all and has not begun to stop. */
+  readonly isHealthy: () => boolean;
+  /** Whether this entry may start work now. */
+  readonly isReady: () => boolean;
+}
+
+const OK = 200;
+const UNAVAILABLE = 503;
+const MAXIMUM_BODY_BYTES = 4_194_304;
+const STATUS_BY_KIND: Partial<Record<FaultKind, number>> = {
+  [FaultKind.Unauthorised]: 401,
+  [FaultKind.NotFound]: 404,
+  [FaultKind.Conflict]: 409,
+  [FaultKind.Unavailable]: 503,
+  [FaultKind.OutcomeUnknown]: 502,
+};
+const BAD_REQUEST = 400;
+
+/** Listens to operators, to the balancer's health checks and to the collector of metrics. */
+export class OperatorListener {
+  readonly #options: OperatorListenerOptions;
+  readonly #server: Server;
+
+  constructor(options: OperatorListenerOptions) {
+    this.#options = options;
+    this.#server = createServer((request, response) => {
+      this.#handle(request, response).catch((error: unknown) => {
+        const reason = error instanceof Error ? error.message : String(error);
+        options.logger.writeError('operator request failed', { reason });
+        response.destroy();
+      });
+    });
+  }
+
+  /** Listens on an address and returns the port taken. */
+  async listen(host: string, port: number): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(port, host, resolve);
+    });
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Stops listening. */
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { isHealthy, isReady, metrics, service } = this.#options;
+    const url = new URL(request.url ?? '/', 'http://entry');
+    switch (parsePath(url.pathname)) {
+      case OperatorPath.Health:
+        sendText(response, isHealthy() ? OK : UNAVAILABLE, isHealthy() ? 'ok' : 'stopping');
+        return;
+      case OperatorPath.Ready:
+        sendText(response, isReady() ? OK : UNAVAILABLE, isReady() ? 'ok' : 'not ready');
+        return;
+      case OperatorPath.Metrics:
+        sendText(response, OK, await metrics.registry.metrics());
+        return;
+      default: {
+        const answer = this.#isAuthorised(request)
+          ? await service.handle(url, await readJson(request))
+          : err(createKeyFault());
+        sendResult(response, answer);
+      }
+    }
+  }
+
+  #isAuthorised(request: IncomingMessage): boolean {
+    const shown = Buffer.from(request.headers.authorization ?? '');
+    const expected = Buffer.from(`Bearer ${this.#options.key}`);
+    return shown.length === expected.length && timingSafeEqual(shown, expected);
+  }
+}
+
+/** Reads a JSON body; undefined when there is none or it is no JSON. */
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const data of request) {
+    const chunk = data as Buffer;
+    bytes += chunk.length;
+    if (bytes > MAXIMUM_BODY_BYTES) throw new Error('the body of an operator request is too large');
+    chunks.push(chunk);
+  }
+  try {
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+  } catch {
+    return undefined;
+  }
+}
+
+function sendResult(response: ServerResponse, result: Result<unknown, Fault>): void {
+  if (result.isOk()) {
+    sendText(response, OK, JSON.stringify(result.value), 'application/json');
+    return;
+  }
+  const { kind, message, remedy } = result.error;
+  const problem = { type: `urn:currantgap:${kind}`, title: message, detail: remedy };
+  const status = STATUS_BY_KIND[kind] ?? BAD_REQUEST;
+  sendText(response, status, JSON.stringify(problem), 'application/problem+json');
+}
+
+function sendText(
+  response: ServerResponse,
+  status: number,
+  text: string,
+  type = 'text/plain',
+): void {
+  response.writeHead(status, { 'content-type': type, 'content-length': Buffer.byteLength(text) });
+  response.end(text);
+}
+
+function createKeyFault(): Fault {
+  return createFault(
+    FaultKind.Unauthorised,
+    'The operator key is missing or wrong.',
+    'Set CURRANTGAP_OPERATOR_KEY to keys.operator of the entry settings.',
+  );
+}
--- a/packages/platform/src/http-table.ts
+++ b/packages/platform/src/http-table.ts
@@ -23,6 +23,8 @@
 const commitSchema = z.object({ result: z.enum(CommitResult) });
 
 const STATUS_OK = 200;
+/** The service promises that it applied nothing when it answers so. */
+const STATUS_UNAVAILABLE = 503;
 const MAXIMUM_ATTEMPTS = 4;
 const FIRST_BACKOFF_MS = 20;
 const WRITES_PER_SECOND = 40;
@@ -104,7 +106,8 @@
     const answer = await this.#client.send({ method: 'POST', path, body: JSON.stringify(body) });
     this.#breaker.record(answer.isOk() && answer.value.status === STATUS_OK);
     if (answer.isErr()) return err(answer.error);
-    if (answer.value.status !== STATUS_OK) return err(createUnavailableFault());
+    if (answer.value.status === STATUS_UNAVAILABLE) return err(createUnavailableFault());
+    if (answer.value.status !== STATUS_OK) return err(createUnknownFault());
     return parseBody(answer.value.body, schema);
   }
 
--- /dev/null
+++ b/packages/sharing/src/index.ts
@@ -0,0 +1,2 @@
+export * from './fair-queue.ts';
+export * from './max-min.ts';
--- /dev/null
+++ b/packages/spec/src/main.ts
@@ -0,0 +1,1 @@
+process.stdout.write('no specification yet\n');
--- /dev/null
+++ b/packages/standins/src/entry-process.ts
@@ -0,0 +1,177 @@
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { createWriteStream, writeFileSync, type WriteStream } from 'node:fs';
+import { request } from 'node:http';
+import { createServer, type AddressInfo } from 'node:net';
+import { stringify } from 'smol-toml';
+import { OperatorClient } from '@currantgap/operator';
+
+/** Keys that stand-in fleets use. */
+export const PEER_KEY = 'stand-in peer key';
+/** Key of the operators of stand-in fleets. */
+export const OPERATOR_KEY = 'stand-in operator key';
+
+/** Options of an entry process. */
+export interface EntryProcessOptions {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly environment: string;
+  /** Address of the platform stand-in. */
+  readonly platform: string;
+  /** Directory for settings and logs. */
+  readonly directory: string;
+  /** Command that runs the product, its first word the program. */
+  readonly command: readonly string[];
+  readonly timing?: Readonly<Record<string, number>>;
+  readonly peerKey?: string;
+}
+
+const HOST = '127.0.0.1';
+const READY_POLL_MS = 50;
+const READY_ATTEMPTS = 600;
+const HTTP_OK = 200;
+
+/** One entry as a process of its own, with addresses that outlive its restarts. */
+export class EntryProcess {
+  readonly name: string;
+  readonly #options: EntryProcessOptions;
+  readonly #log: WriteStream;
+  #ports: readonly number[] = [];
+  #child: ChildProcess | undefined;
+
+  constructor(options: EntryProcessOptions) {
+    this.name = options.name;
+    this.#options = options;
+    this.#log = createWriteStream(`${options.directory}/${options.name}.log`, { flags: 'a' });
+  }
+
+  get callerPort(): number {
+    return this.#ports[0] ?? 0;
+  }
+
+  get operatorUrl(): string {
+    return `http://${HOST}:${this.#ports[1] ?? 0}`;
+  }
+
+  get peerAddress(): string {
+    return `${HOST}:${this.#ports[2] ?? 0}`;
+  }
+
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
+  get isRunning(): boolean {
+    return this.#child?.exitCode === null && this.#child.signalCode === null;
+  }
+
+  /** Starts the process on the ports it had before, if any. */
+  async start(): Promise<void> {
+    if (this.#ports.length === 0) {
+      this.#ports = [await findPort(), await findPort(), await findPort()];
+    }
+    const file = `${this.#options.directory}/${this.name}.toml`;
+    writeFileSync(file, this.#formatSettings());
+    const [program = '', ...words] = this.#options.command;
+    this.#child = spawn(program, [...words, 'entry', '--settings', file], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ROARR_LOG: 'true' },
+    });
+    this.#child.stdout?.pipe(this.#log, { end: false });
+    this.#child.stderr?.pipe(this.#log, { end: false });
+  }
+
+  /** Waits until the entry answers that it is ready. */
+  async waitUntilReady(): Promise<void> {
+    for (let attempt = 0; attempt < READY_ATTEMPTS; attempt += 1) {
+      if ((await this.#getStatus('/readyz')) === HTTP_OK) return;
+      await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+    }
+    throw new Error(`entry ${this.name} is not ready`);
+  }
+
+  /** Sends a signal. */
+  send(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Stops the process as planned and waits for its end. Returns its exit code. */
+  async stop(): Promise<number | null> {
+    return this.#end('SIGTERM');
+  }
+
+  /** Kills the process and waits for its end. */
+  async kill(): Promise<void> {
+    await this.#end('SIGKILL');
+  }
+
+  /** Creates a client of the operator listener. */
+  createClient(): OperatorClient {
+    return new OperatorClient({ url: this.operatorUrl, key: OPERATOR_KEY });
+  }
+
+  /** Gets a text from the operator listener. */
+  async getText(path: string): Promise<string> {
+    return new Promise((resolve, reject) => {
+      const outgoing = request(this.operatorUrl + path, (incoming) => {
+        let text = '';
+        incoming.on('data', (chunk: Buffer) => (text += chunk.toString('utf8')));
+        incoming.on('end', () => {
+          resolve(text);
+        });
+      });
+      outgoing.on('error', reject);
+      outgoing.end();
+    });
+  }
+
+  async #end(signal: NodeJS.Signals): Promise<number | null> {
+    const child = this.#child;
+    if (child === undefined || !this.isRunning) return child?.exitCode ?? null;
+    const exited = once(child, 'exit');
+    child.kill(signal);
+    await exited;
+    return child.exitCode;
+  }
+
+  async #getStatus(path: string): Promise<number> {
+    return new Promise((resolve) => {
+      const outgoing = request(this.operatorUrl + path, (incoming) => {
+        incoming.resume();
+        resolve(incoming.statusCode ?? 0);
+      });
+      outgoing.on('error', () => {
+        resolve(0);
+      });
+      outgoing.end();
+    });
+  }
+
+  #formatSettings(): string {
+    const { name, dataCentre, environment, platform, timing, peerKey } = this.#options;
+    const [caller = 0, operator = 0, peer = 0] = this.#ports;
+    return stringify({
+      entry: { name, dataCentre, environment },
+      listen: {
+        caller: `${HOST}:${caller}`,
+        operator: `${HOST}:${operator}`,
+        peer: `${HOST}:${peer}`,
+      },
+      platform: {
+        table: `http://${platform}`,
+        objects: `http://${platform}`,
+        vms: `http://${platform}`,
+      },
+      keys: { peer: peerKey ?? PEER_KEY, operator: OPERATOR_KEY },
+      timing: { balancerNoticeMs: 200, ...timing },
+    });
+  }
+}
+
+async function findPort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
--- /dev/null
+++ b/packages/standins/src/fleet.ts
@@ -0,0 +1,202 @@
+import { ChangeKind, createKey, hashKey, type Change } from '@currantgap/environment';
+import { formatFault } from '@currantgap/model';
+import {
+  acceptedSchema,
+  OperatorPath,
+  statusSchema,
+  teamsSchema,
+  type EntryStatus,
+} from '@currantgap/operator';
+import { mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { stringify } from 'smol-toml';
+import { createDocument, type DeploymentShape } from './deployments.ts';
+import { EntryProcess } from './entry-process.ts';
+import { PlatformServer } from './platform-server.ts';
+import { TargetServer } from './target-server.ts';
+
+/** Options of a fleet. */
+export interface FleetOptions {
+  readonly shape: DeploymentShape;
+  readonly entryCount: number;
+  /** Command that runs the product, its first word the program. */
+  readonly command: readonly string[];
+  /** @default 'production' */
+  readonly environment?: string;
+  /** Milliseconds that a request runs at a target. @default 5 */
+  readonly runMs?: number;
+  readonly timing?: Readonly<Record<string, number>>;
+}
+
+const POLL_MS = 50;
+const POLL_ATTEMPTS = 1_200;
+
+/** A whole system on loopback: platform and targets in this process, entries in their own. */
+export class Fleet {
+  readonly platform = new PlatformServer();
+  readonly targets = new Map<string, TargetServer>();
+  readonly entries: EntryProcess[] = [];
+  /** Key of each team, once granted. */
+  readonly keys = new Map<string, string>();
+  readonly #options: FleetOptions;
+  #documentText = '';
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+  }
+
+  get documentText(): string {
+    return this.#documentText;
+  }
+
+  /** Starts everything, applies the document and grants every team a key. */
+  async start(): Promise<void> {
+    const { shape, entryCount, command, environment = 'production', runMs, timing } = this.#options;
+    const platform = await this.platform.listen();
+    const addresses = await this.#startTargets(shape, runMs);
+    const directory = mkdtempSync(join(tmpdir(), 'currantgap-'));
+    for (let index = 0; index < entryCount; index += 1) {
+      const entry = new EntryProcess({
+        name: `entry-${index + 1}`,
+        dataCentre: shape.dataCentres[index % shape.dataCentres.length] ?? '',
+        environment,
+        platform,
+        directory,
+        command,
+        ...(timing === undefined ? {} : { timing }),
+      });
+      this.entries.push(entry);
+      await entry.start();
+    }
+    await Promise.all(this.entries.map(async (entry) => entry.waitUntilReady()));
+    await this.waitForMembers(entryCount);
+    this.#documentText = stringify(createDocument(shape, (vm) => addresses.get(vm) ?? ''));
+    await this.applyDocument(this.#documentText);
+    for (const team of shape.teams) await this.grantKey(team.name);
+    await this.waitForPermits();
+  }
+
+  /** Gets an entry by its position. */
+  getEntry(index: number): EntryProcess {
+    const entry = this.entries[index];
+    if (entry === undefined) throw new Error(`there is no entry ${index}`);
+    return entry;
+  }
+
+  getTarget(vm: string): TargetServer {
+    const target = this.targets.get(vm);
+    if (target === undefined) throw new Error(`there is no VM ${vm}`);
+    return target;
+  }
+
+  /** Applies a document through an entry. */
+  async applyDocument(text: string, index = 0): Promise<void> {
+    const client = this.getEntry(index).createClient();
+    const result = await client.post(OperatorPath.Apply, { text }, acceptedSchema);
+    client.close();
+    if (result.isErr()) throw new Error(formatFault(result.error));
+  }
+
+  /** Makes a change through an entry and returns its sequence. */
+  async change(change: Change, index = 0): Promise<number> {
+    const client = this.getEntry(index).createClient();
+    const result = await client.post(OperatorPath.Changes, { change }, acceptedSchema);
+    client.close();
+    if (result.isErr()) throw new Error(formatFault(result.error));
+    return result.value.sequence;
+  }
+
+  /** Grants a team a key and returns it. */
+  async grantKey(team: string): Promise<string> {
+    const key = createKey();
+    await this.change({ kind: ChangeKind.GrantKey, team, keyHash: hashKey(key) });
+    this.keys.set(team, key);
+    return key;
+  }
+
+  async getStatus(index: number): Promise<EntryStatus> {
+    const client = this.getEntry(index).createClient();
+    const result = await client.get(OperatorPath.Status, statusSchema);
+    client.close();
+    if (result.isErr()) throw new Error(formatFault(result.error));
+    return result.value;
+  }
+
+  /** Waits until every running entry has a view of `count` members. */
+  async waitForMembers(count: number): Promise<void> {
+    await this.waitUntil(async () => {
+      const statuses = await this.#listStatuses();
+      return statuses.every((status) => status.members.length === count);
+    });
+  }
+
+  /** Waits until a change is in force at every running entry. */
+  async waitForSequence(sequence: number): Promise<void> {
+    await this.waitUntil(async () => {
+      const statuses = await this.#listStatuses();
+      return statuses.every((status) => status.sequence >= sequence);
+    });
+  }
+
+  /** Waits until the permits are settled and every running entry holds some. */
+  async waitForPermits(): Promise<void> {
+    await this.waitUntil(async () => {
+      const statuses = await this.#listStatuses();
+      if (!statuses.every((status) => status.isSettled)) return false;
+      const held = await Promise.all(this.#listRunning().map(async (entry) => countHeld(entry)));
+      return held.every((count) => count > 0);
+    });
+  }
+
+  /** Polls until a condition holds; fails after a minute. */
+  async waitUntil(isMet: () => Promise<boolean>): Promise<void> {
+    for (let attempt = 0; attempt < POLL_ATTEMPTS; attempt += 1) {
+      if (await isMet().catch(() => false)) return;
+      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+    }
+    throw new Error('the awaited condition did not come about');
+  }
+
+  /** Kills the entries and closes the stand-ins. */
+  async close(): Promise<void> {
+    await Promise.all(
+      this.entries.map(async (entry) => {
+        entry.send('SIGCONT');
+        await entry.kill();
+      }),
+    );
+    for (const target of this.targets.values()) target.close();
+    this.platform.close();
+  }
+
+  #listRunning(): EntryProcess[] {
+    return this.entries.filter((entry) => entry.isRunning);
+  }
+
+  async #listStatuses(): Promise<EntryStatus[]> {
+    return Promise.all(
+      this.entries.flatMap((entry, index) => (entry.isRunning ? [this.getStatus(index)] : [])),
+    );
+  }
+
+  async #startTargets(
+    shape: DeploymentShape,
+    runMs: number | undefined,
+  ): Promise<Map<string, string>> {
+    const addresses = new Map<string, string>();
+    for (const vm of createDocument(shape, () => '').vms) {
+      const target = new TargetServer(runMs === undefined ? {} : { runMs });
+      this.targets.set(vm.name, target);
+      addresses.set(vm.name, await target.listen());
+    }
+    return addresses;
+  }
+}
+
+async function countHeld(entry: EntryProcess): Promise<number> {
+  const client = entry.createClient();
+  const result = await client.get(OperatorPath.Teams, teamsSchema);
+  client.close();
+  return result.isOk() ? Math.min(...result.value.teams.map((team) => team.held)) : 0;
+}
--- a/tools/layers.js
+++ b/tools/layers.js
@@ -2,9 +2,10 @@
 export const layers = [
   ['model'],
   ['tasks', 'settings'],
-  ['telemetry', 'environment', 'allowance', 'sharing', 'routing'],
-  ['platform', 'peer'],
-  ['membership', 'freshness'],
+  ['telemetry', 'environment', 'sharing', 'routing'],
+  ['allowance', 'platform', 'peer'],
+  ['membership'],
+  ['freshness'],
   ['gateway', 'operator'],
   ['entry'],
   ['cli'],
