--- /dev/null
+++ b/packages/spec/src/index.ts
@@ -0,0 +1,4 @@
+export * from './explore.ts';
+export * from './freshness-spec.ts';
+export * from './permit-spec.ts';
+export * from './plan.ts';
--- /dev/null
+++ b/packages/spec/src/plan.ts
@@ -0,0 +1,82 @@
+import type { Specification, Step } from './explore.ts';
+import { FreshnessSpecification } from './freshness-spec.ts';
+import { FreshnessFault, type FreshnessBounds } from './freshness-state.ts';
+import { PermitSpecification } from './permit-spec.ts';
+import { PermitFault, type PermitBounds } from './permit-state.ts';
+
+/** One exploration that a run makes. */
+export interface Check {
+  readonly specification: Specification<unknown, Step>;
+  readonly bounds: string;
+  /** Whether a rule was left out on purpose, so that a violation must be found. */
+  readonly isSeeded: boolean;
+}
+
+const FRESHNESS_BOUNDS: readonly FreshnessBounds[] = [
+  { entries: 3, joiners: 0, moves: 1, crashes: 1 },
+  { entries: 3, joiners: 1, moves: 1, crashes: 1 },
+];
+const DEEP_FRESHNESS_BOUNDS: readonly FreshnessBounds[] = [
+  { entries: 3, joiners: 0, moves: 2, crashes: 1 },
+  { entries: 4, joiners: 0, moves: 1, crashes: 1 },
+];
+const SEEDED_FRESHNESS_BOUNDS: FreshnessBounds = { entries: 3, joiners: 1, moves: 1, crashes: 1 };
+
+const PERMIT_BOUNDS: readonly PermitBounds[] = [
+  { entries: 3, limits: [2], losses: 1, transfers: 2 },
+  { entries: 2, limits: [2, 1], losses: 1, transfers: 2 },
+  { entries: 2, limits: [1, 2], losses: 1, transfers: 2 },
+];
+const DEEP_PERMIT_BOUNDS: readonly PermitBounds[] = [
+  { entries: 3, limits: [3], losses: 1, transfers: 2 },
+  { entries: 2, limits: [2, 1, 2], losses: 1, transfers: 2 },
+  { entries: 3, limits: [2, 1], losses: 1, transfers: 1 },
+];
+const SEEDED_PERMIT_BOUNDS: PermitBounds = { entries: 3, limits: [2], losses: 1, transfers: 2 };
+const SEEDED_LOWERING_BOUNDS: PermitBounds = {
+  entries: 2,
+  limits: [2, 1],
+  losses: 0,
+  transfers: 1,
+};
+
+/** Lists the explorations of a run; `isDeep` adds the larger bounds. */
+export function listChecks(isDeep: boolean): Check[] {
+  const freshness = [...FRESHNESS_BOUNDS, ...(isDeep ? DEEP_FRESHNESS_BOUNDS : [])];
+  const permits = [...PERMIT_BOUNDS, ...(isDeep ? DEEP_PERMIT_BOUNDS : [])];
+  return [
+    ...freshness.map((bounds) => createFreshnessCheck(bounds, FreshnessFault.None)),
+    ...permits.map((bounds) => createPermitCheck(bounds, PermitFault.None)),
+    ...listSeededChecks(),
+  ];
+}
+
+function listSeededChecks(): Check[] {
+  return [
+    ...Object.values(FreshnessFault)
+      .filter((fault) => fault !== FreshnessFault.None)
+      .map((fault) => createFreshnessCheck(SEEDED_FRESHNESS_BOUNDS, fault)),
+    ...Object.values(PermitFault)
+      .filter((fault) => fault !== PermitFault.None)
+      .map((fault) => {
+        const isLowering = fault === PermitFault.StartDuringLowering;
+        return createPermitCheck(isLowering ? SEEDED_LOWERING_BOUNDS : SEEDED_PERMIT_BOUNDS, fault);
+      }),
+  ];
+}
+
+function createFreshnessCheck(bounds: FreshnessBounds, fault: FreshnessFault): Check {
+  return {
+    specification: new FreshnessSpecification(bounds, fault),
+    bounds: JSON.stringify(bounds),
+    isSeeded: fault !== FreshnessFault.None,
+  };
+}
+
+function createPermitCheck(bounds: PermitBounds, fault: PermitFault): Check {
+  return {
+    specification: new PermitSpecification(bounds, fault),
+    bounds: JSON.stringify(bounds),
+    isSeeded: fault !== PermitFault.None,
+  };
+}
