--- a/packages/features/steps/path-steps.ts
+++ b/packages/features/steps/path-steps.ts
@@ -1,5 +1,4 @@
 import { ChangeKind, hashKey } from '@currantgap/environment';
-import { MANTOJUMA, createDocument } from '@currantgap/standins';
 import { Given, Then, When } from '@cucumber/cucumber';
 import assert from 'node:assert/strict';
 import type { FleetWorld } from './world.ts';
@@ -85,7 +84,7 @@
 );
 
 Then('nothing ran in data centre {string}', function (this: FleetWorld, dataCentre: string) {
-  const vms = createDocument(MANTOJUMA, () => '').vms.filter((vm) => vm.dataCentre === dataCentre);
+  const vms = this.listVms(dataCentre);
   assert.ok(vms.length > 0);
-  assert.deepEqual(this.listRuns(vms.map((vm) => vm.name)), []);
+  assert.deepEqual(this.listRuns(vms), []);
 });
--- a/packages/standins/src/entry-process.ts
+++ b/packages/standins/src/entry-process.ts
@@ -34,15 +34,19 @@
 /** One entry as a process of its own, with addresses that outlive its restarts. */
 export class EntryProcess {
   readonly name: string;
+  /** File that collects the log lines of all its processes. */
+  readonly logFile: string;
   readonly #options: EntryProcessOptions;
   readonly #log: WriteStream;
   #ports: readonly number[] = [];
   #child: ChildProcess | undefined;
+  #isPaused = false;
 
   constructor(options: EntryProcessOptions) {
     this.name = options.name;
     this.#options = options;
-    this.#log = createWriteStream(`${options.directory}/${options.name}.log`, { flags: 'a' });
+    this.logFile = `${options.directory}/${options.name}.log`;
+    this.#log = createWriteStream(this.logFile, { flags: 'a' });
   }
 
   get callerPort(): number {
@@ -65,6 +69,11 @@
     return this.#child?.exitCode === null && this.#child.signalCode === null;
   }
 
+  /** Whether it runs and is not paused. */
+  get isResponsive(): boolean {
+    return this.isRunning && !this.#isPaused;
+  }
+
   /** Starts the process on the ports it had before, if any. */
   async start(): Promise<void> {
     if (this.#ports.length === 0) {
@@ -90,9 +99,16 @@
     throw new Error(`entry ${this.name} is not ready`);
   }
 
-  /** Sends a signal. */
-  send(signal: NodeJS.Signals): void {
-    this.#child?.kill(signal);
+  /** Pauses the process. */
+  pause(): void {
+    this.#isPaused = true;
+    this.#child?.kill('SIGSTOP');
+  }
+
+  /** Lets a paused process go on. */
+  resume(): void {
+    this.#isPaused = false;
+    this.#child?.kill('SIGCONT');
   }
 
   /** Stops the process as planned and waits for its end. Returns its exit code. */
--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -13,6 +13,7 @@
 import { stringify } from 'smol-toml';
 import { createDocument, type DeploymentShape } from './deployments.ts';
 import { EntryProcess } from './entry-process.ts';
+import { RunLog } from './run-log.ts';
 import { PlatformServer } from './platform-server.ts';
 import { TargetServer } from './target-server.ts';
 
@@ -36,6 +37,7 @@
 export class Fleet {
   readonly platform = new PlatformServer();
   readonly targets = new Map<string, TargetServer>();
+  readonly log = new RunLog();
   readonly entries: EntryProcess[] = [];
   /** Key of each team, once granted. */
   readonly keys = new Map<string, string>();
@@ -123,7 +125,7 @@
     return result.value;
   }
 
-  /** Waits until every running entry has a view of `count` members. */
+  /** Waits until every responsive entry has a view of `count` members. */
   async waitForMembers(count: number): Promise<void> {
     await this.waitUntil(async () => {
       const statuses = await this.#listStatuses();
@@ -131,7 +133,7 @@
     });
   }
 
-  /** Waits until a change is in force at every running entry. */
+  /** Waits until a change is in force at every responsive entry. */
   async waitForSequence(sequence: number): Promise<void> {
     await this.waitUntil(async () => {
       const statuses = await this.#listStatuses();
@@ -139,7 +141,7 @@
     });
   }
 
-  /** Waits until the permits are settled and every running entry holds some. */
+  /** Waits until the permits are settled and every responsive entry holds some. */
   async waitForPermits(): Promise<void> {
     await this.waitUntil(async () => {
       const statuses = await this.#listStatuses();
@@ -162,7 +164,7 @@
   async close(): Promise<void> {
     await Promise.all(
       this.entries.map(async (entry) => {
-        entry.send('SIGCONT');
+        entry.resume();
         await entry.kill();
       }),
     );
@@ -171,12 +173,12 @@
   }
 
   #listRunning(): EntryProcess[] {
-    return this.entries.filter((entry) => entry.isRunning);
+    return this.entries.filter((entry) => entry.isResponsive);
   }
 
   async #listStatuses(): Promise<EntryStatus[]> {
     return Promise.all(
-      this.entries.flatMap((entry, index) => (entry.isRunning ? [this.getStatus(index)] : [])),
+      this.entries.flatMap((entry, index) => (entry.isResponsive ? [this.getStatus(index)] : [])),
     );
   }
 
@@ -186,7 +188,11 @@
   ): Promise<Map<string, string>> {
     const addresses = new Map<string, string>();
     for (const vm of createDocument(shape, () => '').vms) {
-      const target = new TargetServer(runMs === undefined ? {} : { runMs });
+      const target = new TargetServer({
+        vm: vm.name,
+        log: this.log,
+        ...(runMs === undefined ? {} : { runMs }),
+      });
       this.targets.set(vm.name, target);
       addresses.set(vm.name, await target.listen());
     }
--- a/packages/standins/src/http-server.ts
+++ b/packages/standins/src/http-server.ts
@@ -18,8 +18,13 @@
   /** Listens on a port; 0 takes a free one. Returns the address as `host:port`. */
   async listen(port = 0): Promise<string> {
     await new Promise<void>((resolve) => this.#server.listen(port, '127.0.0.1', resolve));
-    const { port: taken } = this.#server.address() as AddressInfo;
-    return `127.0.0.1:${taken}`;
+    return this.address;
+  }
+
+  /** Address as `host:port`, once it listens. */
+  get address(): string {
+    const { port } = this.#server.address() as AddressInfo;
+    return `127.0.0.1:${port}`;
   }
 
   /** Closes the server and its connections. */
--- a/packages/standins/src/target-server.ts
+++ b/packages/standins/src/target-server.ts
@@ -1,5 +1,6 @@
 import { REQUEST_ID_HEADER } from '@currantgap/model';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { LABEL_HEADER, RunLog, TEAM_HEADER, type Run } from './run-log.ts';
 import { readText, sendJson, StandinServer } from './http-server.ts';
 
 /** Ways in which a target stand-in misbehaves. */
@@ -23,6 +24,9 @@
   readonly slots?: number;
   /** Milliseconds a request runs. @default 5 */
   readonly runMs?: number;
+  readonly vm?: string;
+  /** Log that the targets of a fleet share. */
+  readonly log?: RunLog;
 }
 
 const OK = 200;
@@ -41,13 +45,15 @@
   failure = TargetFailure.None;
   maximumRunning = 0;
   overflows = 0;
-  /** Ids of the requests that ran, in order of start. */
-  readonly runLog: string[] = [];
+  readonly #vm: string;
+  readonly #log: RunLog;
 
   constructor(options: TargetOptions = {}) {
     super();
     this.#slots = options.slots ?? DEFAULT_SLOTS;
     this.#runMs = options.runMs ?? DEFAULT_RUN_MS;
+    this.#vm = options.vm ?? '';
+    this.#log = options.log ?? new RunLog();
   }
 
   get running(): number {
@@ -74,12 +80,20 @@
   }
 
   async #run(request: IncomingMessage, id: string): Promise<void> {
-    this.runLog.push(id);
+    const run: Run = {
+      id,
+      vm: this.#vm,
+      team: String(request.headers[TEAM_HEADER] ?? ''),
+      label: String(request.headers[LABEL_HEADER] ?? ''),
+      startedAt: performance.now(),
+    };
+    this.#log.start(run);
     this.#running += 1;
     this.maximumRunning = Math.max(this.maximumRunning, this.#running);
     const runMs = Number(request.headers[RUN_HEADER] ?? this.#runMs);
     await new Promise((resolve) => setTimeout(resolve, runMs));
     this.#running -= 1;
+    this.#log.finish(run);
   }
 
   #sendAnswer(response: ServerResponse, id: string, body: string): void {
