--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,2 @@
 export { run } from './main.ts';
+export * from './table.ts';
--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -92,6 +92,10 @@
     return target;
   }
 
+  listDataCentres(): readonly string[] {
+    return this.#options.shape.dataCentres;
+  }
+
   /** Applies a document through an entry. */
   async applyDocument(text: string, index = 0): Promise<void> {
     const client = this.getEntry(index).createClient();
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -64,12 +64,17 @@
     registers: [this.registry],
   });
 
-  readonly peerBytes = new Counter({
-    name: 'currantgap_peer_bytes_total',
-    help: 'Bytes exchanged with peers and the table, by direction',
-    labelNames: ['direction'],
-    registers: [this.registry],
-  });
+  /** Shows the bytes exchanged with peers and the table, as `countBytes` gives them. */
+  observeControlBytes(countBytes: () => number): void {
+    const gauge = new Gauge({
+      name: 'currantgap_control_bytes',
+      help: 'Bytes read from and written to peers and the table since the start',
+      registers: [this.registry],
+      collect: () => {
+        gauge.set(countBytes());
+      },
+    });
+  }
 
   /** Adds the metrics of the Node.js runtime. */
   observeProcess(): void {
