perf(gateway): buffered log lines, cached resource names, event-driven bodies

Cause: a profile of an entry at full load showed a system call a log line, an async iterator a body and names built anew per candidate; the bench itself was limited by its own process, which also wrote the entry's log.

--- a/packages/bench/src/relay-bench.ts
+++ b/packages/bench/src/relay-bench.ts
@@ -1,14 +1,15 @@
 import { formatTable, type TableRow } from '@currantgap/cli';
-import { Caller, Fleet, MANTOJUMA, TargetServer } from '@currantgap/standins';
+import { Fleet, MANTOJUMA, TargetServer } from '@currantgap/standins';
 import { build as buildHistogram } from 'hdr-histogram-js';
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { fileURLToPath } from 'node:url';
+import type { RelayLoadAnswer, RelayLoadOrder } from './relay-load.ts';
 import { PRODUCT_COMMAND } from './command.ts';
 
 const WIDTH = 32;
+const PROCESSES = 2;
 const MEASURE_MS = 5_000;
-const MS_PER_SECOND = 1_000;
 const MICROSECONDS_PER_MS = 1_000;
 const TARGETS = 8;
 
@@ -90,43 +91,43 @@
   return { full, half };
 }
 
-/** Sends as fast as answers come, or at a rate when one is given. */
+/** Sends from processes of their own, so that the relay is what limits the throughput. */
 async function measure(
   port: number,
   key: string | undefined,
   rate: number | undefined,
 ): Promise<Measured> {
-  const caller = new Caller();
-  const histogram = buildHistogram();
-  const startedAt = performance.now();
-  const gapMs = rate === undefined ? 0 : (WIDTH * MS_PER_SECOND) / rate;
-  let count = 0;
-  const run = async (lane: number): Promise<void> => {
-    let dueAt = startedAt + (gapMs * lane) / WIDTH;
-    while (performance.now() - startedAt < MEASURE_MS) {
-      const waitMs = dueAt - performance.now();
-      if (gapMs > 0 && waitMs > 0) await new Promise((resolve) => setTimeout(resolve, waitMs));
-      dueAt += gapMs;
-      const answer = await caller.send({
-        port,
-        path: '/velves/work',
-        body: 'payload',
-        ...(key === undefined ? {} : { key }),
-      });
-      if (answer.status !== 200) throw new Error(`status ${answer.status}: ${answer.body}`);
-      histogram.recordValue(Math.max(1, Math.round(answer.totalMs * MICROSECONDS_PER_MS)));
-      count += 1;
-    }
+  const order: RelayLoadOrder = {
+    port,
+    key,
+    rate: rate === undefined ? undefined : rate / PROCESSES,
+    width: WIDTH / PROCESSES,
+    durationMs: MEASURE_MS,
   };
-  await Promise.all(Array.from({ length: WIDTH }, async (_, lane) => run(lane)));
-  caller.close();
+  const answers = await Promise.all(
+    Array.from({ length: PROCESSES }, async () => runProcess(order)),
+  );
+  const histogram = buildHistogram();
+  for (const micros of answers.flatMap((answer) => answer.totalMicros))
+    histogram.recordValue(micros);
   return {
-    perSecond: (count * MS_PER_SECOND) / (performance.now() - startedAt),
+    perSecond: answers.reduce((sum, answer) => sum + answer.perSecond, 0),
     p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS_PER_MS,
     p99Ms: histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MS,
   };
 }
 
+async function runProcess(order: RelayLoadOrder): Promise<RelayLoadAnswer> {
+  const script = fileURLToPath(new URL('./relay-load.ts', import.meta.url));
+  const child = spawn(process.execPath, ['--import', 'tsx', script, JSON.stringify(order)], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const chunks: Buffer[] = [];
+  child.stdout.on('data', (chunk: Buffer) => chunks.push(chunk));
+  await once(child, 'close');
+  return JSON.parse(Buffer.concat(chunks).toString('utf8')) as RelayLoadAnswer;
+}
+
 function format(measured: Measured): TableRow {
   return {
     'requests/s': measured.perSecond.toFixed(0),
--- a/packages/cli/src/entry-command.ts
+++ b/packages/cli/src/entry-command.ts
@@ -1,6 +1,6 @@
 import { Entry } from '@currantgap/entry';
 import { parseEntrySettings } from '@currantgap/settings';
-import { setLogSink } from '@currantgap/telemetry';
+import { LineBuffer, setLogSink } from '@currantgap/telemetry';
 import { Command, Option } from 'clipanion';
 import { printFaults, readSource } from './client-command.ts';
 import { ExitCode } from './exit-code.ts';
@@ -17,10 +17,16 @@
     if (source.isErr()) return printFaults(this, [source.error]);
     const settings = parseEntrySettings(source.value);
     if (settings.isErr()) return printFaults(this, settings.error);
+    const lines = new LineBuffer(this.context.stdout);
     setLogSink((line) => {
-      this.context.stdout.write(`${line}\n`);
+      lines.write(line);
     });
-    const entry = new Entry(settings.value);
+    const code = await this.#runEntry(new Entry(settings.value));
+    lines.close();
+    return code;
+  }
+
+  async #runEntry(entry: Entry): Promise<ExitCode> {
     return new Promise((resolve) => {
       const stop = (): void => {
         void entry.stop().then(() => {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from '@currantgap/telemetry';
 import {
   MessageKind,
+  type ArriveMessage,
   type Borrower,
   type DispatcherMessage,
   type FinishMessage,
@@ -56,8 +57,7 @@
     switch (message.kind) {
       case MessageKind.Arrive:
         this.#unfinished += 1;
-        this.#open(message.request.service.name).queue.add(message.request, message.isRetry);
-        this.#pump(message.request.service.name);
+        this.#accept(message);
         break;
       case MessageKind.Finish:
         this.#finish(message);
@@ -83,6 +83,12 @@
     }
   }
 
+  #accept({ request, isRetry }: ArriveMessage): void {
+    const dispatch = this.#open(request.service.name);
+    dispatch.queue.add(request, isRetry);
+    this.#pump(dispatch);
+  }
+
   #finish(message: FinishMessage): void {
     const { request, vm, status, runMs } = message;
     const dispatch = this.#open(request.service.name);
@@ -148,11 +154,10 @@
   }
 
   #pumpAll(): void {
-    for (const name of this.#services.keys()) this.#pump(name);
+    for (const dispatch of this.#services.values()) this.#pump(dispatch);
   }
 
-  #pump(service: string): void {
-    const dispatch = this.#open(service);
+  #pump(dispatch: ServiceDispatch): void {
     if (dispatch.queue.length === 0) return;
     for (let started = dispatch.startNext(); started; started = dispatch.startNext());
     if (dispatch.queue.length > 0) this.#borrow(dispatch);
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -142,22 +142,29 @@
   async #readBody(incoming: IncomingMessage, head: AnswerHead): Promise<Buffer> {
     const held: Buffer[] = [];
     let heldBytes = 0;
-    for await (const data of incoming) {
-      const chunk = data as Buffer;
-      if (this.#stream !== undefined) {
-        await writeChunk(this.#stream, chunk);
-        continue;
-      }
-      held.push(chunk);
-      heldBytes += chunk.length;
-      if (heldBytes <= MAXIMUM_HELD_ANSWER_BYTES) continue;
-      this.#stream = this.#sink.open(head);
-      if (this.#stream === undefined) throw new Error('the caller has gone');
-      await writeChunk(this.#stream, Buffer.concat(held));
-    }
+    await new Promise<void>((resolve, reject) => {
+      incoming.on('data', (chunk: Buffer) => {
+        held.push(chunk);
+        heldBytes += chunk.length;
+        if (heldBytes <= MAXIMUM_HELD_ANSWER_BYTES) return;
+        incoming.removeAllListeners('data');
+        this.#sendStream(incoming, head, Buffer.concat(held)).then(resolve, reject);
+      });
+      incoming.on('end', resolve);
+      incoming.on('error', reject);
+    });
     return this.#stream === undefined ? Buffer.concat(held) : Buffer.alloc(0);
   }
 
+  /** Passes the rest of a large body on as fast as the caller takes it. */
+  async #sendStream(incoming: IncomingMessage, head: AnswerHead, first: Buffer): Promise<void> {
+    incoming.pause();
+    this.#stream = this.#sink.open(head);
+    if (this.#stream === undefined) throw new Error('the caller has gone');
+    await writeChunk(this.#stream, first);
+    for await (const chunk of incoming) await writeChunk(this.#stream, chunk as Buffer);
+  }
+
   #describeRefusal(): SendResult {
     const fault = createFault(
       FaultKind.Unavailable,
--- a/packages/gateway/src/service-dispatch.ts
+++ b/packages/gateway/src/service-dispatch.ts
@@ -45,7 +45,7 @@
   readonly #runningByTeam = new Map<string, number>();
   readonly #demandByTeam = new Map<string, number>();
   #state = EnvironmentState.createEmpty();
-  #vms: readonly Vm[] = [];
+  #targets: readonly DispatchTarget[] = [];
 
   constructor(options: ServiceDispatchOptions) {
     this.name = options.name;
@@ -56,9 +56,14 @@
   /** Applies a configuration; VMs that return to service start slowly. */
   configure(state: EnvironmentState, previous: EnvironmentState, now: Instant): void {
     this.#state = state;
-    this.#vms = state.listVms(state.findService(this.name)?.pool ?? '');
-    for (const vm of this.#vms) {
-      if (state.canStartOn(vm) && !previous.canStartOn(vm)) this.#router.startSlowly(vm.name, now);
+    const vms = state.listVms(state.findService(this.name)?.pool ?? '');
+    this.#targets = vms.map((vm) => ({
+      vm,
+      resource: formatSlotResource(this.name, vm.name),
+      isOpen: state.canStartOn(vm),
+    }));
+    for (const { vm, isOpen } of this.#targets) {
+      if (isOpen && !previous.canStartOn(vm)) this.#router.startSlowly(vm.name, now);
     }
   }
 
@@ -88,7 +93,7 @@
     const hasSucceeded = status === SendStatus.Answered;
     this.#inFlight.set(vm, (this.#inFlight.get(vm) ?? 1) - 1);
     this.#runningByTeam.set(request.team, (this.#runningByTeam.get(request.team) ?? 1) - 1);
-    this.#router.record(vm, hasSucceeded, this.#options.clock.now, this.#vms.length);
+    this.#router.record(vm, hasSucceeded, this.#options.clock.now, this.#targets.length);
     this.queue.record(request.team, runMs);
   }
 
@@ -99,10 +104,8 @@
 
   /** Whether a permit for a slot on some target is free. */
   hasFreeSlot(): boolean {
-    return this.#vms.some(
-      (vm) =>
-        this.#state.canStartOn(vm) &&
-        this.#options.allowances.canTake(formatSlotResource(this.name, vm.name)),
+    return this.#targets.some(
+      ({ isOpen, resource }) => isOpen && this.#options.allowances.canTake(resource),
     );
   }
 
@@ -177,16 +180,16 @@
   }
 
   #chooseVm(request: PendingRequest, now: Instant): Vm | undefined {
-    const candidates = this.#vms
-      .filter((vm) => this.#canUse(vm, request))
-      .map((vm) => this.#describeCandidate(vm));
+    const candidates: Candidate[] = [];
+    for (const target of this.#targets) {
+      if (this.#canUse(target, request)) candidates.push(this.#describeCandidate(target));
+    }
     const chosen = this.#router.choose(candidates, now, request.lastVm);
-    return this.#vms.find((vm) => vm.name === chosen?.vm);
+    return this.#targets.find(({ vm }) => vm.name === chosen?.vm)?.vm;
   }
 
-  #canUse(vm: Vm, request: PendingRequest): boolean {
-    if (!this.#state.canStartOn(vm)) return false;
-    if (!this.#options.allowances.canTake(formatSlotResource(this.name, vm.name))) return false;
+  #canUse({ vm, resource, isOpen }: DispatchTarget, request: PendingRequest): boolean {
+    if (!isOpen || !this.#options.allowances.canTake(resource)) return false;
     return this.#options.gate.canStart({
       keyHash: request.keyHash,
       dataCentre: vm.dataCentre,
@@ -194,13 +197,22 @@
     });
   }
 
-  #describeCandidate(vm: Vm): Candidate {
-    const { held } = this.#options.allowances.count(formatSlotResource(this.name, vm.name));
+  #describeCandidate({ vm, resource }: DispatchTarget): Candidate {
+    const { held } = this.#options.allowances.count(resource);
     const inFlight = this.#inFlight.get(vm.name) ?? 0;
     return { vm: vm.name, dataCentre: vm.dataCentre, held, inFlight };
   }
 }
 
+/** A VM with what the dispatch of a service needs to know of it. */
+interface DispatchTarget {
+  readonly vm: Vm;
+  /** The resource of its slots. */
+  readonly resource: ResourceName;
+  /** Whether new work may start on it. */
+  readonly isOpen: boolean;
+}
+
 function createDeadlineFault(): Fault {
   return createFault(
     FaultKind.DeadlineExceeded,
--- a/packages/standins/src/entry-process.ts
+++ b/packages/standins/src/entry-process.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { createWriteStream, writeFileSync, type WriteStream } from 'node:fs';
+import { openSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
 import { createServer, type AddressInfo } from 'node:net';
 import { stringify } from 'smol-toml';
@@ -37,7 +37,8 @@
   /** File that collects the log lines of all its processes. */
   readonly logFile: string;
   readonly #options: EntryProcessOptions;
-  readonly #log: WriteStream;
+  /** Descriptor of the log file. */
+  readonly #log: number;
   #ports: readonly number[] = [];
   #child: ChildProcess | undefined;
   #isPaused = false;
@@ -46,7 +47,7 @@
     this.name = options.name;
     this.#options = options;
     this.logFile = `${options.directory}/${options.name}.log`;
-    this.#log = createWriteStream(this.logFile, { flags: 'a' });
+    this.#log = openSync(this.logFile, 'a');
   }
 
   get callerPort(): number {
@@ -83,11 +84,9 @@
     writeFileSync(file, this.#formatSettings());
     const [program = '', ...words] = this.#options.command;
     this.#child = spawn(program, [...words, 'entry', '--settings', file], {
-      stdio: ['ignore', 'pipe', 'pipe'],
+      stdio: ['ignore', this.#log, this.#log],
       env: { ...process.env, ROARR_LOG: 'true' },
     });
-    this.#child.stdout?.pipe(this.#log, { end: false });
-    this.#child.stderr?.pipe(this.#log, { end: false });
   }
 
   /** Waits until the entry answers that it is ready. */
