perf(allowance): control cost at the target size

Change: holdings are reported up to 256 at a time and taken stock of once a round; services nobody wants are not divided; division every 250 ms, heartbeat and poll every 1.5 s instead of 1 s; queues swept apart.

--- a/packages/allowance/src/allowances.ts
+++ b/packages/allowance/src/allowances.ts
@@ -42,6 +42,8 @@
   #state: EnvironmentState;
   #members: readonly Incarnation[];
   #isSettled = false;
+  /** What this entry held after it last lent. */
+  #ownHoldings: readonly Holding[] = [];
 
   constructor(self: Incarnation, state: EnvironmentState) {
     this.#self = self;
@@ -115,6 +117,10 @@
     this.#demands.setOwn(demands);
     const shares = new Map(this.#state.document.teams.map((team) => [team.name, team.share]));
     for (const service of this.#state.document.services) {
+      if (!this.#demands.isWanted(service.name)) {
+        this.#divisions.delete(service.name);
+        continue;
+      }
       const slots = this.#listSlotResources(service.name).length * service.slots;
       this.#divisions.set(
         service.name,
@@ -139,7 +145,7 @@
     return {
       ...this.#describeOwnState(),
       demands: this.#demands.listChanges(to),
-      holdings: this.#holdings.listChanges(to, this.#listHoldings()),
+      holdings: this.#holdings.listChanges(to, this.#ownHoldings),
       transfers: this.#ledger.listOutgoing(to),
       acknowledged: this.#toAcknowledge.get(to) ?? [],
     };
@@ -188,6 +194,7 @@
         if (loan.from === this.#self) this.#give(group, loan.count, loan.to);
       }
     }
+    this.#ownHoldings = this.#listHoldings();
   }
 
   /** Lends up to `count` permits of a group at the request of a peer, keeping what is needed here. */
--- a/packages/allowance/src/demand.ts
+++ b/packages/allowance/src/demand.ts
@@ -84,6 +84,16 @@
     return running;
   }
 
+  /** Whether any entry wants a service. */
+  isWanted(service: ServiceName): boolean {
+    for (const table of this.#byEntry.values()) {
+      for (const demand of table.get(service)?.values() ?? []) {
+        if (countNeed(demand) > 0) return true;
+      }
+    }
+    return false;
+  }
+
   /** Lists what an entry wants of a service. */
   listServiceDemands(entry: Incarnation, service: ServiceName): Demand[] {
     return [...(this.#byEntry.get(entry)?.get(service)?.values() ?? [])];
--- a/packages/allowance/src/holding.ts
+++ b/packages/allowance/src/holding.ts
@@ -25,7 +25,7 @@
 }
 
 /** Holdings reported to one peer at a time. */
-export const MAXIMUM_REPORTED_HOLDINGS = 32;
+export const MAXIMUM_REPORTED_HOLDINGS = 256;
 
 /** The permits that every entry of the view holds, as far as it was reported. */
 export class HoldingBook {
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,5 +1,11 @@
 import { ChangeWriter } from '@currantgap/freshness';
-import { CallerListener, ClaimStore, MessageKind, Relay } from '@currantgap/gateway';
+import {
+  CallerListener,
+  ClaimStore,
+  MessageKind,
+  Relay,
+  type DispatcherMessage,
+} from '@currantgap/gateway';
 import { listMembers } from '@currantgap/membership';
 import { OperatorListener, OperatorService } from '@currantgap/operator';
 import { PeerServer } from '@currantgap/peer';
@@ -133,8 +139,13 @@
     this.#run(periods.LEASE_PERIOD_MS, async () => seats.renewLease());
     this.#run(periods.DECLARE_PERIOD_MS, async () => seats.declareLost());
     this.#run(periods.SETTLEMENT_PERIOD_MS, async () => settlement.run());
-    this.#run(periods.REFRESH_PERIOD_MS, async () => {
-      core.dispatcher.post({ kind: MessageKind.Refresh });
+    this.#post(periods.SWEEP_PERIOD_MS, { kind: MessageKind.Sweep });
+    this.#post(periods.REFRESH_PERIOD_MS, { kind: MessageKind.Refresh });
+  }
+
+  #post(periodMs: number, message: DispatcherMessage): void {
+    this.#run(periodMs, async () => {
+      this.#core.dispatcher.post(message);
       return Promise.resolve();
     });
   }
--- a/packages/entry/src/periods.ts
+++ b/packages/entry/src/periods.ts
@@ -1,5 +1,7 @@
 /** Milliseconds between two looks through the queues. */
-export const REFRESH_PERIOD_MS = 100;
+export const SWEEP_PERIOD_MS = 100;
+/** Milliseconds between two divisions of the services by demand. */
+export const REFRESH_PERIOD_MS = 250;
 /** Milliseconds between two steps of a settlement. */
 export const SETTLEMENT_PERIOD_MS = 250;
 /** Milliseconds between two renewals of the lease row. */
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -69,6 +69,10 @@
       case MessageKind.Configure:
         this.#configure(message.state);
         break;
+      case MessageKind.Sweep:
+        this.#sweep();
+        this.#pumpAll();
+        break;
       case MessageKind.Refresh:
         this.#refresh();
         break;
@@ -130,12 +134,9 @@
   }
 
   #refresh(): void {
-    this.#sweep();
     const demands = [...this.#services.values()].flatMap((dispatch) => dispatch.collectDemand());
     this.#options.allowances.setDemand(demands);
     for (const dispatch of this.#services.values()) dispatch.setWeights();
-    this.#pumpAll();
-    this.#notifyDrained();
   }
 
   /** Refuses what waits in vain: past its deadline, abandoned, or with a withdrawn key. */
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -9,6 +9,7 @@
   Finish = 'finish',
   Release = 'release',
   Configure = 'configure',
+  Sweep = 'sweep',
   Refresh = 'refresh',
   Use = 'use',
   Drain = 'drain',
@@ -44,7 +45,12 @@
   readonly state: EnvironmentState;
 }
 
-/** Time has passed: queues are looked through and demand is taken stock of. */
+/** Time has passed: queues are looked through. */
+export interface SweepMessage {
+  readonly kind: MessageKind.Sweep;
+}
+
+/** Time has passed: demand is taken stock of and services are divided anew. */
 export interface RefreshMessage {
   readonly kind: MessageKind.Refresh;
 }
@@ -67,6 +73,7 @@
   | FinishMessage
   | ReleaseMessage
   | ConfigureMessage
+  | SweepMessage
   | RefreshMessage
   | UseMessage
   | DrainMessage;
--- a/packages/gateway/src/service-dispatch.ts
+++ b/packages/gateway/src/service-dispatch.ts
@@ -148,6 +148,7 @@
 
   /** Removes what waits in vain. */
   sweep(now: Instant): Refusal[] {
+    if (this.queue.length === 0) return [];
     const expired = this.queue.removeWhere(
       (request) => request.deadline <= now || request.handler.isAbandoned,
     );
--- a/packages/settings/src/defaults.ts
+++ b/packages/settings/src/defaults.ts
@@ -1,7 +1,7 @@
 /** Milliseconds between heartbeats to one peer. */
-export const HEARTBEAT_PERIOD_MS = 1_000;
+export const HEARTBEAT_PERIOD_MS = 1_500;
 /** Milliseconds between two reads of the change log. */
-export const POLL_PERIOD_MS = 1_000;
+export const POLL_PERIOD_MS = 1_500;
 /** Milliseconds for which one proof of freshness lets an entry start work. */
 export const FRESHNESS_BOUND_MS = 4_000;
 /** Milliseconds without any sign of a member before peers ask the table to declare it dead. */
