fix(gateway): no collapse and no starving under overload

Requests started just before their deadline, were abandoned, and locked slot and team permits for the longest run; and saturated entries had no free permit at the moment of lending, so permits never moved to the entry where the team's callers land. Ruled out: limits (a team alone on one entry got its full rate), retries (none were made). Change: requests that could no longer be answered in time (mean run plus four mean deviations) are refused as not-run; an answer is read to its end past the deadline, so that its permits come back when the target is done; what is owed to a peer goes to it as permits fall free and is delivered within 50 ms.

--- a/packages/allowance/src/allowances.ts
+++ b/packages/allowance/src/allowances.ts
@@ -5,6 +5,7 @@
 import { GroupKind, HoldingBook, type Group, type Holding } from './holding.ts';
 import { PermitLedger } from './ledger.ts';
 import { planLoans, type HolderReport } from './lending.ts';
+import { OwedLoans, type Give, type OwedLoan } from './owed-loans.ts';
 import { settleLoweredLimits, type MemberState } from './lowered-limits.ts';
 import {
   formatSlotResource,
@@ -41,6 +42,7 @@
   readonly #divisions = new Map<ServiceName, ServiceDivision>();
   #state: EnvironmentState;
   #members: readonly Incarnation[];
+  readonly #owed = new OwedLoans();
   #isSettled = false;
   /** What this entry held after it last lent. */
   #ownHoldings: readonly Holding[] = [];
@@ -168,6 +170,7 @@
     this.#peers.set(from, report);
     this.#demands.apply(from, report.demands);
     this.#holdings.apply(from, report.holdings);
+    for (const holding of report.holdings) this.#owed.recordReport(from, holding);
     this.#ledger.acknowledge(from, report.acknowledged);
     this.#ledger.receive(report.transfers);
     this.#settleLimits();
@@ -189,14 +192,21 @@
   lend(): void {
     this.#settleLimits();
     if (this.#members.length < 2) return;
+    const loans: OwedLoan[] = [];
     for (const group of this.#listGroups()) {
-      for (const loan of planLoans(this.#listHolders(group))) {
-        if (loan.from === this.#self) this.#give(group, loan.count, loan.to);
+      for (const { from, to, count } of planLoans(this.#listHolders(group))) {
+        if (from === this.#self) loans.push({ group, to, count });
       }
     }
+    this.#owed.set(loans, this.#giveCounted);
     this.#ownHoldings = this.#listHoldings();
   }
 
+  /** Gives permits that have fallen free to whom they are owed; returns who was given some. */
+  settleLoans(): Set<Incarnation> {
+    return this.#owed.settle(this.#giveCounted);
+  }
+
   /** Lends up to `count` permits of a group at the request of a peer, keeping what is needed here. */
   lendTo(group: Group, count: number, to: Incarnation): PermitTransfer[] {
     const own = this.#countNeed(this.#self, group);
@@ -246,6 +256,7 @@
     this.#ledger.removePeer(peer);
     this.#demands.removePeer(peer);
     this.#holdings.removePeer(peer);
+    this.#owed.removePeer(peer);
     this.#peers.delete(peer);
     this.#toAcknowledge.delete(peer);
   }
@@ -265,6 +276,8 @@
     settleLoweredLimits(this.#ledger, this.#describeOwnState(), others);
   }
 
+  readonly #giveCounted: Give = (group, count, to) => this.#give(group, count, to).length;
+
   #give(group: Group, count: number, to: Incarnation): PermitTransfer[] {
     if (group.kind === GroupKind.Team) {
       return this.#ledger.give(formatTeamResource(group.name), count, to);
@@ -297,11 +310,16 @@
   #listHolders(group: Group): HolderReport[] {
     return this.#members.map((holder) => ({
       holder,
-      held: holder === this.#self ? this.countHeld(group) : this.#holdings.count(holder, group),
+      held: holder === this.#self ? this.countHeld(group) : this.#countPeerHeld(holder, group),
       need: this.#countNeed(holder, group),
     }));
   }
 
+  /** What a peer reported, and what was given to it since. */
+  #countPeerHeld(peer: Incarnation, group: Group): number {
+    return this.#holdings.count(peer, group) + this.#owed.countGiven(peer, group);
+  }
+
   #countNeed(entry: Incarnation, group: Group): number {
     return group.kind === GroupKind.Team
       ? this.#demands.countTeamNeed(entry, group.name)
--- a/packages/allowance/src/index.ts
+++ b/packages/allowance/src/index.ts
@@ -5,6 +5,7 @@
 export * from './ledger.ts';
 export * from './lending.ts';
 export * from './lowered-limits.ts';
+export * from './owed-loans.ts';
 export * from './permit.ts';
 export * from './resource-permits.ts';
 export * from './settlement.ts';
--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from 'node:crypto';
 import { Random } from '@currantgap/model';
 import {
   Caller,
@@ -50,6 +51,8 @@
   readonly #random: Random;
   readonly #caller = new Caller();
   readonly #results = new Map<string, TeamResult>();
+  /** Tells the labels of this load from those of others. */
+  readonly #run = randomUUID();
   #sequence = 0;
 
   constructor(options: LoadOptions) {
@@ -80,7 +83,7 @@
 
   async #send(stream: LoadStream): Promise<void> {
     this.#sequence += 1;
-    const label = `${this.#options.seed}-${this.#sequence}`;
+    const label = `${this.#run}-${this.#sequence}`;
     const result = this.#open(stream.team);
     result.sent += 1;
     const answer = await this.#caller.send({
--- a/packages/entry/src/heartbeat.ts
+++ b/packages/entry/src/heartbeat.ts
@@ -34,6 +34,12 @@
     this.#core.metrics.freshSeconds.set((gate.freshUntil - clock.now) / MS_PER_SECOND);
   }
 
+  /** Exchanges with one peer at once. */
+  async runWith(incarnation: Incarnation): Promise<void> {
+    const peer = this.#core.peers.find(incarnation);
+    if (peer !== undefined) await this.#ask(peer, new VouchRound(this.#core, this.#core.clock.now));
+  }
+
   async #ask(peer: Peer, round: VouchRound): Promise<void> {
     const { incarnation } = peer.seat;
     const report = await useAllowances(this.#core, (allowances) =>
--- a/packages/entry/src/peer-borrower.ts
+++ b/packages/entry/src/peer-borrower.ts
@@ -4,16 +4,32 @@
 import type { Incarnation } from '@currantgap/model';
 import { encodeKind } from './codec.ts';
 import { useAllowances, type EntryCore } from './core.ts';
+import { Heartbeat } from './heartbeat.ts';
+
+/** Milliseconds over which given permits are gathered before they are sent. */
+const DELIVERY_GATHER_MS = 50;
 
 /** Borrows permits over the peer service. */
 export class PeerBorrower extends Borrower {
   #core: EntryCore | undefined;
 
+  readonly #scheduled = new Set<Incarnation>();
+
   /** Connects the borrower, once the entry is put together. */
   connect(core: EntryCore): void {
     this.#core = core;
   }
 
+  deliver(to: Incarnation): void {
+    const core = this.#core;
+    if (core === undefined || this.#scheduled.has(to)) return;
+    this.#scheduled.add(to);
+    core.clock.schedule(core.clock.now + DELIVERY_GATHER_MS, () => {
+      this.#scheduled.delete(to);
+      void new Heartbeat(core).runWith(to);
+    });
+  }
+
   borrow(group: Group, count: number, from: Incarnation): void {
     if (this.#core !== undefined) void borrowFrom(this.#core, group, count, from);
   }
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -40,6 +40,7 @@
   readonly #context: ExchangeContext;
   readonly #response: ServerResponse;
   readonly #claim: Claim | undefined;
+  #isAnswered = false;
 
   constructor(context: ExchangeContext, response: ServerResponse, claim: Claim | undefined) {
     super();
@@ -66,7 +67,11 @@
 
   async #run(request: PendingRequest, vm: Vm, startedAt: Instant): Promise<void> {
     const { relay, dispatcher, clock } = this.#context;
+    const timer = clock.schedule(request.deadline, () => {
+      this.#answerLate(request);
+    });
     const result = await relay.send(request, vm, new ResponseSink(this.#response));
+    timer.stop();
     if (result.status === SendStatus.Lost || result.status === SendStatus.Failed) {
       request.mayHaveRun = true;
     }
@@ -75,12 +80,20 @@
     const runMs = clock.now - startedAt;
     const { status } = result;
     dispatcher.post({ kind: MessageKind.Finish, request, vm: vm.name, status, runMs });
-    if (!isRetried) this.#answer(request, result);
+    if (!isRetried && !this.#isAnswered) this.#answer(request, result);
+  }
+
+  /** At the deadline the caller is told that the outcome is unknown; the target may still run it. */
+  #answerLate(request: PendingRequest): void {
+    if (this.#response.headersSent) return;
+    request.mayHaveRun = true;
+    this.refuse(request, createLateFault());
   }
 
   /** Idempotent requests and those that surely did not run are sent again, within the budget. */
   #shouldRetry(request: PendingRequest, result: SendResult): boolean {
     if (result.status === SendStatus.Answered || result.isStreamed === true) return false;
+    if (this.#isAnswered) return false;
     if (result.status !== SendStatus.NotRun && !request.isIdempotent) return false;
     if (request.sends >= MAXIMUM_SENDS || this.isAbandoned) return false;
     if (request.deadline <= this.#context.clock.now) return false;
@@ -109,6 +122,7 @@
   }
 
   #finish(request: PendingRequest, outcome: Outcome, reason: string): void {
+    this.#isAnswered = true;
     const { metrics, logger, clock, claims } = this.#context;
     const labels = { team: request.team, service: request.service.name };
     const totalMs = clock.now - request.arrivedAt;
@@ -136,7 +150,7 @@
   }
 
   open(head: AnswerHead): Writable | undefined {
-    if (this.#response.destroyed) return undefined;
+    if (this.#response.destroyed || this.#response.headersSent) return undefined;
     this.#response.writeHead(head.status, { ...head.headers, [OUTCOME_HEADER]: Outcome.Ran });
     return this.#response;
   }
@@ -153,6 +167,14 @@
   }
 }
 
+function createLateFault(): Fault {
+  return createFault(
+    FaultKind.OutcomeUnknown,
+    'The target had not answered by the deadline.',
+    'Check whether the request took effect before sending it again.',
+  );
+}
+
 function createLostFault(): Fault {
   return createFault(
     FaultKind.OutcomeUnknown,
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -64,6 +64,7 @@
         break;
       case MessageKind.Release:
         for (const resource of message.resources) this.#options.allowances.release(resource);
+        this.#settleLoans();
         this.#pumpAll();
         break;
       case MessageKind.Configure:
@@ -109,10 +110,17 @@
       { team: request.team, service: request.service.name },
       runMs / MS_PER_SECOND,
     );
+    this.#settleLoans();
     this.#pumpAll();
     this.#notifyDrained();
   }
 
+  /** What has fallen free goes first to the entries it is owed to. */
+  #settleLoans(): void {
+    const { allowances, borrower } = this.#options;
+    for (const peer of allowances.settleLoans()) borrower.deliver(peer);
+  }
+
   /** The target may still run what was lost, until it stops the request by itself. */
   #releaseLater(request: PendingRequest, vm: string): void {
     const { clock } = this.#options;
@@ -160,6 +168,9 @@
 
   #pump(dispatch: ServiceDispatch): void {
     if (dispatch.queue.length === 0) return;
+    for (const { request, fault } of dispatch.removeLate(this.#options.clock.now)) {
+      this.#refuse(request, fault);
+    }
     for (let started = dispatch.startNext(); started; started = dispatch.startNext());
     if (dispatch.queue.length > 0) this.#borrow(dispatch);
   }
--- a/packages/gateway/src/messages.ts
+++ b/packages/gateway/src/messages.ts
@@ -78,8 +78,11 @@
   | UseMessage
   | DrainMessage;
 
-/** Asks peers for permits when work waits for want of them. */
+/** Moves permits between this entry and its peers. */
 export abstract class Borrower {
   /** Borrows up to `count` permits of a group from a peer; they arrive by `Use`. */
   abstract borrow(group: Group, count: number, from: Incarnation): void;
+
+  /** Sends a peer the permits that were given to it, without waiting for the next heartbeat. */
+  abstract deliver(to: Incarnation): void;
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -36,11 +36,15 @@
     this.#entryCount = Math.max(1, count);
   }
 
-  /** Sends a request to the target on a VM and reads the answer. Never throws. */
+  /**
+   * Sends a request to the target on a VM and reads the answer, also past the request's deadline,
+   * since only the answer tells that the slot is free again. Never throws.
+   */
   async send(request: PendingRequest, vm: Vm, sink: AnswerSink): Promise<SendResult> {
     const attempt = new Attempt(this.#getAgent(vm, request.service), request, vm, sink);
-    const timer = this.#clock.schedule(request.deadline, () => {
-      attempt.abandon('the deadline passed');
+    const endsAt = this.#clock.now + request.service.maximumRunMs;
+    const timer = this.#clock.schedule(Math.max(endsAt, request.deadline), () => {
+      attempt.abandon('the longest run has passed');
     });
     const result = await attempt.run(Math.max(1, Math.floor(request.deadline - this.#clock.now)));
     timer.stop();
--- a/packages/gateway/src/service-dispatch.ts
+++ b/packages/gateway/src/service-dispatch.ts
@@ -146,6 +146,15 @@
     return ahead === 0 ? 0 : (ahead * this.queue.getExpectedCost(team)) / part;
   }
 
+  /** Removes the first of each team that could no longer be answered by its deadline. */
+  removeLate(now: Instant): Refusal[] {
+    return this.queue
+      .removeHeads(
+        (request) => request.deadline - now < this.queue.getLikelyLongestCost(request.team),
+      )
+      .map((request) => ({ request, fault: createDeadlineFault() }));
+  }
+
   /** Removes what waits in vain. */
   sweep(now: Instant): Refusal[] {
     if (this.queue.length === 0) return [];
@@ -217,7 +226,7 @@
 function createDeadlineFault(): Fault {
   return createFault(
     FaultKind.DeadlineExceeded,
-    'The request waited until its deadline.',
+    'The request could not be answered by its deadline.',
     'Send it again with a longer timeout, or when the team has less running.',
   );
 }
--- a/packages/sharing/src/fair-queue.ts
+++ b/packages/sharing/src/fair-queue.ts
@@ -13,6 +13,8 @@
 /** Slot-milliseconds that a request is expected to take before any has been measured. */
 const INITIAL_COST_MS = 20;
 const COST_SMOOTHING = 0.1;
+/** Mean deviations above the mean within which a request very likely ends. */
+const DEVIATIONS = 4;
 
 /**
  * Start-time fair queueing among the teams of one service. A team is charged slot-milliseconds
@@ -62,7 +64,29 @@
   record(team: TeamName, costMs: number): void {
     const queue = this.#open(team);
     queue.charged += (costMs - queue.expectedCostMs) / queue.weight;
-    queue.expectedCostMs += COST_SMOOTHING * (costMs - queue.expectedCostMs);
+    const difference = costMs - queue.expectedCostMs;
+    queue.expectedCostMs += COST_SMOOTHING * difference;
+    queue.costDeviationMs += COST_SMOOTHING * (Math.abs(difference) - queue.costDeviationMs);
+  }
+
+  /** Slot-milliseconds within which nearly every request of the team ends, after RFC 6298. */
+  getLikelyLongestCost(team: TeamName): number {
+    const queue = this.#teams.get(team);
+    if (queue === undefined) return INITIAL_COST_MS;
+    return queue.expectedCostMs + DEVIATIONS * queue.costDeviationMs;
+  }
+
+  /** Removes and returns the items at the heads of the queues that `isRemoved` accepts. */
+  removeHeads(isRemoved: (item: Item) => boolean): Item[] {
+    const removed: Item[] = [];
+    for (const queue of this.#teams.values()) {
+      while (queue.first !== undefined && isRemoved(queue.first)) {
+        const item = queue.take();
+        if (item !== undefined) removed.push(item);
+      }
+    }
+    this.#length -= removed.length;
+    return removed;
   }
 
   /** Slot-milliseconds that a request of the team is expected to take. */
@@ -114,6 +138,7 @@
   weight = DEFAULT_WEIGHT;
   charged = 0;
   expectedCostMs = INITIAL_COST_MS;
+  costDeviationMs = 0;
 
   get length(): number {
     return this.#items.length - this.#head;
