--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -113,9 +113,10 @@
     const { status, headers, body } = result.answer;
     this.#finish(request, Outcome.Ran, result.status);
     if (this.#response.destroyed) return;
+    const isHead = request.content.method === 'HEAD';
     this.#response.writeHead(status, {
       ...headers,
-      'content-length': body.length,
+      ...(isHead ? {} : { 'content-length': body.length }),
       [OUTCOME_HEADER]: Outcome.Ran,
     });
     this.#response.end(body);
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -55,6 +55,8 @@
   readonly #options: CallerListenerOptions;
   readonly #server: Server;
   #isStopping = false;
+  /** Bytes of the bodies of all requests that wait or run. */
+  #heldBytes = 0;
 
   constructor(options: CallerListenerOptions) {
     this.#options = options;
@@ -95,6 +97,11 @@
       this.#refuse(request, response, admission.error);
       return;
     }
+    const fault = this.#holdBody(request, response);
+    if (fault !== undefined) {
+      this.#refuse(request, response, fault);
+      return;
+    }
     const body = await readBody(request, this.#options.limits.bodyBytes);
     if (body.isErr()) {
       this.#refuse(request, response, body.error);
@@ -103,6 +110,18 @@
     await this.#accept(request, response, admission.value, body.value);
   }
 
+  /** Counts the body against the memory of this entry until the exchange is over. */
+  #holdBody(request: IncomingMessage, response: ServerResponse): Fault | undefined {
+    const { bodyBytes, heldBytes } = this.#options.limits;
+    const bytes = Number(request.headers['content-length'] ?? bodyBytes);
+    if (this.#heldBytes + bytes > heldBytes) return createMemoryFault();
+    this.#heldBytes += bytes;
+    response.once('close', () => {
+      this.#heldBytes -= bytes;
+    });
+    return undefined;
+  }
+
   async #accept(
     request: IncomingMessage,
     response: ServerResponse,
@@ -265,6 +284,14 @@
   );
 }
 
+function createMemoryFault(): Fault {
+  return createFault(
+    FaultKind.Overloaded,
+    'This entry holds as many request bodies as its memory allows.',
+    'Send the request again later, or with a smaller body.',
+  );
+}
+
 function createStaleFault(): Fault {
   return createFault(
     FaultKind.Unavailable,
--- a/packages/settings/src/defaults.ts
+++ b/packages/settings/src/defaults.ts
@@ -14,6 +14,8 @@
 export const MAXIMUM_QUEUE_LENGTH = 200;
 /** Largest request body in bytes. */
 export const MAXIMUM_BODY_BYTES = 1_048_576;
+/** Bytes of request bodies that one entry holds at once. */
+export const MAXIMUM_HELD_BYTES = 33_554_432;
 /** Milliseconds of continued service after a planned stop began, until the balancer has noticed. */
 export const BALANCER_NOTICE_MS = 1_000;
 /** Smallest length of a peer key in characters. */
--- a/packages/settings/src/entry-settings.ts
+++ b/packages/settings/src/entry-settings.ts
@@ -32,6 +32,8 @@
       queueLength: z.number().int().positive().default(defaults.MAXIMUM_QUEUE_LENGTH),
       /** @default MAXIMUM_BODY_BYTES */
       bodyBytes: z.number().int().positive().default(defaults.MAXIMUM_BODY_BYTES),
+      /** @default MAXIMUM_HELD_BYTES */
+      heldBytes: z.number().int().positive().default(defaults.MAXIMUM_HELD_BYTES),
       /** @default MAXIMUM_TIMEOUT_MS */
       maximumTimeoutMs: milliseconds.default(defaults.MAXIMUM_TIMEOUT_MS),
       /** @default DEFAULT_TIMEOUT_MS */
--- a/packages/standins/src/entry-process.ts
+++ b/packages/standins/src/entry-process.ts
@@ -1,8 +1,9 @@
+import { randomInt } from 'node:crypto';
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { openSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
-import { createServer, type AddressInfo } from 'node:net';
+import { createServer } from 'node:net';
 import { stringify } from 'smol-toml';
 import { OperatorClient } from '@currantgap/operator';
 
@@ -30,6 +31,8 @@
 const READY_POLL_MS = 50;
 const READY_ATTEMPTS = 600;
 const HTTP_OK = 200;
+const FIRST_PORT = 10_000;
+const LAST_PORT = 32_000;
 
 /** One entry as a process of its own, with addresses that outlive its restarts. */
 export class EntryProcess {
@@ -183,10 +186,24 @@
   }
 }
 
+/** Finds a free port below those that the system gives to outgoing connections. */
 async function findPort(): Promise<number> {
+  for (;;) {
+    const port = randomInt(FIRST_PORT, LAST_PORT);
+    if (await canListen(port)) return port;
+  }
+}
+
+async function canListen(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
+  return new Promise((resolve) => {
+    server.once('error', () => {
+      resolve(false);
+    });
+    server.listen(port, HOST, () => {
+      server.close(() => {
+        resolve(true);
+      });
+    });
+  });
 }
--- a/packages/tasks/src/js-csp.d.ts
+++ b/packages/tasks/src/js-csp.d.ts
@@ -7,10 +7,14 @@
   export interface Instruction {
     readonly instruction?: never;
   }
-  export const CLOSED: null;
-  export function chan<T>(buffer?: unknown): Channel<T>;
-  export function take<T>(channel: Channel<T>): Instruction;
-  export function offer<T>(channel: Channel<T>, value: T): boolean;
-  export function go(body: () => Generator<Instruction, void, unknown>): unknown;
-  export const buffers: { fixed(size: number): unknown };
+  interface Csp {
+    readonly CLOSED: null;
+    chan<T>(buffer?: unknown): Channel<T>;
+    take<T>(channel: Channel<T>): Instruction;
+    offer<T>(channel: Channel<T>, value: T): boolean;
+    go(body: () => Generator<Instruction, void, unknown>): unknown;
+    readonly buffers: { fixed(size: number): unknown };
+  }
+  const csp: Csp;
+  export default csp;
 }
--- a/packages/tasks/src/task.ts
+++ b/packages/tasks/src/task.ts
@@ -1,4 +1,4 @@
-import * as csp from 'js-csp';
+import csp, { type Channel } from 'js-csp';
 
 /** Messages that a mailbox holds before it refuses more. */
 export const DEFAULT_MAILBOX_SIZE = 16_384;
@@ -14,7 +14,7 @@
  * Other tasks reach it only by `post`.
  */
 export abstract class Task<Message> {
-  readonly #mailbox: csp.Channel<Message>;
+  readonly #mailbox: Channel<Message>;
 
   constructor(options: TaskOptions = {}) {
     this.#mailbox = csp.chan<Message>(
--- /dev/null
+++ b/packages/telemetry/src/enable.ts
@@ -0,0 +1,2 @@
+/** roarr writes nothing unless this variable is set before it is loaded. */
+process.env.ROARR_LOG ??= 'true';
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -1,3 +1,4 @@
+import './enable.ts';
 import { Roarr } from 'roarr';
 
 /** Fields of a log line. */
