fix(entry): acknowledge only transfers that were taken over

Cause, found by reading: the answer to a heartbeat asked a second time whether the sender is a member, after the view may have moved; a sender that joined in between had transfers acknowledged that were refused, and its permits would be lost, since a settlement finds them owned by a member. Change: one check decides both. Besides, as found in the same reading: open slots of a service are collected once a configuration instead of at every end of a request that owes a loan; formatGroup serves the dispatcher too; two gauges that nothing ever set are gone.

--- a/packages/allowance/src/allowances.ts
+++ b/packages/allowance/src/allowances.ts
@@ -44,6 +44,8 @@
   #members: readonly Incarnation[];
   readonly #owed = new OwedLoans();
   #isSettled = false;
+  /** Slots of each service on VMs that may be used, under the present configuration. */
+  #slotResources: ReadonlyMap<ServiceName, readonly ResourceName[]> = new Map();
   /** What this entry held after it last lent. */
   #ownHoldings: readonly Holding[] = [];
 
@@ -63,6 +65,9 @@
   /** Applies a configuration: the limits of teams and the slots of targets. */
   configure(state: EnvironmentState): void {
     this.#state = state;
+    this.#slotResources = new Map(
+      state.document.services.map((service) => [service.name, this.#collectOpenSlots(service)]),
+    );
     const limits = this.#collectLimits();
     for (const [resource, limit] of limits) {
       if (this.#ledger.getLimit(resource) !== limit) {
@@ -342,13 +347,16 @@
     ];
   }
 
-  #listSlotResources(serviceName: ServiceName): ResourceName[] {
-    const service = this.#state.findService(serviceName);
-    if (service === undefined) return [];
+  #listSlotResources(service: ServiceName): readonly ResourceName[] {
+    return this.#slotResources.get(service) ?? [];
+  }
+
+  /** Lists the slots of a service on VMs that may be used. */
+  #collectOpenSlots(service: Service): ResourceName[] {
     return this.#state
       .listVms(service.pool)
       .filter((vm) => this.#state.canStartOn(vm))
-      .map((vm) => formatSlotResource(serviceName, vm.name));
+      .map((vm) => formatSlotResource(service.name, vm.name));
   }
 
   #collectLimits(): Map<ResourceName, number> {
--- a/packages/entry/src/heartbeat.ts
+++ b/packages/entry/src/heartbeat.ts
@@ -46,7 +46,7 @@
       allowances.buildReport(incarnation),
     );
     try {
-      const answer = await peer.client.calls.exchange(this.#buildMessage(peer, report));
+      const answer = await peer.client.calls.exchange(this.#buildMessage(report));
       await this.#receive(incarnation, report, answer);
       round.add(answer);
     } catch (error) {
@@ -56,7 +56,7 @@
     }
   }
 
-  #buildMessage(peer: Peer, report: AllowanceReport): ExchangeInit {
+  #buildMessage(report: AllowanceReport): ExchangeInit {
     const { current, configuration, gate } = this.#core;
     return {
       ...encodeReport(report, configuration.state),
@@ -121,8 +121,12 @@
   }
 }
 
-/** Builds the answer to a peer's heartbeat. */
-export function buildAnswer(core: EntryCore, request: ExchangeMessage): ExchangeInit {
+/** Builds the answer to a peer's heartbeat, whose transfers were taken over or refused. */
+export function buildAnswer(
+  core: EntryCore,
+  request: ExchangeMessage,
+  isTakenOver: boolean,
+): ExchangeInit {
   const { current, configuration, gate } = core;
   const { sequence } = configuration.state;
   const isPeer = isMember(current.view, request.incarnation);
@@ -136,6 +140,6 @@
     changes: configuration
       .listChangesAfter(request.sequence)
       .map((change) => encodeLoggedChange(change)),
-    acknowledged: isPeer ? request.transfers : [],
+    acknowledged: isTakenOver ? request.transfers : [],
   };
 }
--- a/packages/entry/src/peer-calls.ts
+++ b/packages/entry/src/peer-calls.ts
@@ -39,14 +39,15 @@
   async handleExchange(request: ExchangeMessage): Promise<ReturnType<typeof buildAnswer>> {
     const { current, peers, gate, configuration } = this.#core;
     for (const message of request.announcements) gate.announce(decodeAnnouncement(message));
-    if (isMember(current.view, request.incarnation)) {
+    const isTakenOver = isMember(current.view, request.incarnation);
+    if (isTakenOver) {
       peers.recordHeard(request.incarnation);
       const report = decodeReport(request, configuration.state);
       await useAllowances(this.#core, (allowances) => {
         allowances.receiveReport(request.incarnation, report);
       });
     }
-    return buildAnswer(this.#core, request);
+    return buildAnswer(this.#core, request, isTakenOver);
   }
 
   handleAnnouncement(request: AnnounceRequest): { epoch: number } {
--- a/packages/gateway/src/dispatcher.ts
+++ b/packages/gateway/src/dispatcher.ts
@@ -1,4 +1,10 @@
-import { GroupKind, formatTeamResource, type Allowances, type Group } from '@currantgap/allowance';
+import {
+  GroupKind,
+  formatGroup,
+  formatTeamResource,
+  type Allowances,
+  type Group,
+} from '@currantgap/allowance';
 import { EnvironmentState } from '@currantgap/environment';
 import type { StartGate } from '@currantgap/freshness';
 import type { Fault } from '@currantgap/model';
@@ -186,7 +192,7 @@
 
   #borrowGroup(group: Group, wanted: number): void {
     const { clock, allowances, borrower } = this.#options;
-    const key = `${group.kind}:${group.name}`;
+    const key = formatGroup(group);
     if (clock.now < (this.#borrowAt.get(key) ?? -Infinity)) return;
     this.#borrowAt.set(key, clock.now + BORROW_PERIOD_MS);
     const lender = allowances.chooseLender(group);
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -26,20 +26,6 @@
     registers: [this.registry],
   });
 
-  readonly running = new Gauge({
-    name: 'currantgap_running',
-    help: 'Requests running for a team from this entry',
-    labelNames: ['team'],
-    registers: [this.registry],
-  });
-
-  readonly permits = new Gauge({
-    name: 'currantgap_permits',
-    help: 'Permits that this entry holds by resource kind',
-    labelNames: ['kind'],
-    registers: [this.registry],
-  });
-
   readonly configurationSequence = new Gauge({
     name: 'currantgap_configuration_sequence',
     help: 'Sequence of the last configuration change in force here',
