refactor: one piece of code for what stood several times

Cause: reading the whole change showed the same logic in several places. Change: listenOn serves the three listeners, isSameSecret the peer key and the operator key, describeError six places, hasBit both specifications, wait four files of the bench. Behaviour, checks and tests are as they were.

--- a/packages/bench/src/control-bench.ts
+++ b/packages/bench/src/control-bench.ts
@@ -3,6 +3,7 @@
 import { PRODUCT_COMMAND } from './command.ts';
 import { measureChangeTime } from './change-time.ts';
 import { measureStranded } from './stranded.ts';
+import { wait } from './wait.ts';
 
 const SETTLE_MS = 10_000;
 const MEASURE_MS = 10_000;
@@ -111,7 +112,3 @@
 function formatNumber(value: number): string {
   return value.toFixed(value < 10 ? 2 : 0);
 }
-
-async function wait(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/bench/src/demo.ts
+++ b/packages/bench/src/demo.ts
@@ -12,6 +12,7 @@
 import { checkPromises, countLateStarts } from './audit.ts';
 import { Balancer } from './balancer.ts';
 import { Load, type LoadStream, type TeamResult } from './load.ts';
+import { wait } from './wait.ts';
 
 const ENTRY_COUNT = 3;
 const SEED = 20261204;
@@ -118,7 +119,3 @@
     'p99 ms': result.totalMs.getValueAtPercentile(99),
   };
 }
-
-async function wait(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/bench/src/measure.ts
+++ b/packages/bench/src/measure.ts
@@ -5,6 +5,7 @@
 import { BaselineSystem, type MeasuredSystem } from './baseline.ts';
 import { Load, type LoadStream } from './load.ts';
 import { ProductSystem } from './product.ts';
+import { wait } from './wait.ts';
 
 const ENTRY_COUNT = 6;
 const SEED = 4711;
@@ -243,7 +244,3 @@
 function formatPercent(part: number): string {
   return (part * 100).toFixed(1);
 }
-
-async function wait(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/bench/src/stranded.ts
+++ b/packages/bench/src/stranded.ts
@@ -1,6 +1,7 @@
 import type { TableRow } from '@currantgap/cli';
 import { Caller, Fleet, MANTOJUMA, RUN_HEADER, TEAM_HEADER } from '@currantgap/standins';
 import { PRODUCT_COMMAND } from './command.ts';
+import { wait } from './wait.ts';
 
 const ENTRY_COUNT = 3;
 const TEAM = 'selija';
@@ -85,7 +86,3 @@
   const used = ((fleet.log.runs.length - before) * RUN_MS) / elapsedMs;
   return Math.max(0, 100 * (1 - used / limit));
 }
-
-async function wait(ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/cli/src/entry-command.ts
+++ b/packages/cli/src/entry-command.ts
@@ -1,3 +1,4 @@
+import { describeError } from '@currantgap/model';
 import { Entry } from '@currantgap/entry';
 import { parseEntrySettings } from '@currantgap/settings';
 import { LineBuffer, setLogSink } from '@currantgap/telemetry';
@@ -40,7 +41,7 @@
         resolve(ExitCode.Unavailable);
       });
       entry.start().catch((error: unknown) => {
-        const reason = error instanceof Error ? error.message : String(error);
+        const reason = describeError(error);
         this.context.stderr.write(`The entry cannot start: ${reason}. Correct its settings.\n`);
         entry.close();
         resolve(ExitCode.Invalid);
--- a/packages/entry/src/heartbeat.ts
+++ b/packages/entry/src/heartbeat.ts
@@ -1,5 +1,5 @@
 import { hasMajority, isMember, parseView, formatView } from '@currantgap/membership';
-import type { Incarnation, Instant } from '@currantgap/model';
+import { describeError, type Incarnation, type Instant } from '@currantgap/model';
 import type { ExchangeMessage } from '@currantgap/peer';
 import type { AllowanceReport } from '@currantgap/allowance';
 import {
@@ -51,7 +51,7 @@
       round.add(answer);
     } catch (error) {
       this.#core.logger.createChild({ peer: peer.seat.name }).writeInfo('heartbeat failed', {
-        reason: error instanceof Error ? error.message : String(error),
+        reason: describeError(error),
       });
     }
   }
--- a/packages/entry/src/peer-borrower.ts
+++ b/packages/entry/src/peer-borrower.ts
@@ -1,7 +1,7 @@
 import type { Group } from '@currantgap/allowance';
 import { Borrower } from '@currantgap/gateway';
 import { isMember } from '@currantgap/membership';
-import type { Incarnation } from '@currantgap/model';
+import { describeError, type Incarnation } from '@currantgap/model';
 import { encodeKind } from './codec.ts';
 import { useAllowances, type EntryCore } from './core.ts';
 import { Heartbeat } from './heartbeat.ts';
@@ -56,7 +56,7 @@
       allowances.receiveTransfers(from, answer?.transfers ?? []);
     });
   } catch (error) {
-    const reason = error instanceof Error ? error.message : String(error);
+    const reason = describeError(error);
     logger.writeInfo('borrowing failed', { from, group: group.name, reason });
   }
 }
--- a/packages/environment/src/keys.ts
+++ b/packages/environment/src/keys.ts
@@ -1,4 +1,4 @@
-import { createHash, randomBytes } from 'node:crypto';
+import { createHash, randomBytes, timingSafeEqual } from 'node:crypto';
 
 const KEY_BYTES = 32;
 
@@ -16,3 +16,10 @@
 export function hashContent(text: string): string {
   return createHash('sha256').update(text).digest('hex');
 }
+
+/** Whether the secret that was shown is the expected one, in time that does not depend on it. */
+export function isSameSecret(shown: string, expected: string): boolean {
+  const left = Buffer.from(shown);
+  const right = Buffer.from(expected);
+  return left.length === right.length && timingSafeEqual(left, right);
+}
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -7,11 +7,11 @@
 } from '@currantgap/environment';
 import type { RowNames } from '@currantgap/membership';
 import { FaultKind, Outcome, TIMEOUT_HEADER, createFault, type Fault } from '@currantgap/model';
+import { listenOn } from '@currantgap/tasks';
 import type { EntrySettings } from '@currantgap/settings';
 import { randomUUID } from 'node:crypto';
 import { err, ok, type Result } from 'neverthrow';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { readBody } from './body.ts';
 import { CallerExchange, type ExchangeContext } from './caller-exchange.ts';
 import { ClaimState, type Claim } from './claims.ts';
@@ -71,11 +71,7 @@
 
   /** Listens on an address and returns the port taken. */
   async listen(host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    return (this.#server.address() as AddressInfo).port;
+    return listenOn(this.#server, host, port);
   }
 
   /** Closes each connection after its present answer, so that callers open new ones elsewhere. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -7,6 +7,7 @@
   TIMEOUT_HEADER,
   createFault,
   type Fault,
+  describeError,
 } from '@currantgap/model';
 import { parseAddress } from '@currantgap/settings';
 import type { Clock } from '@currantgap/tasks';
@@ -105,7 +106,7 @@
     } catch (error) {
       this.#outgoing.destroy();
       this.#stream?.destroy();
-      return this.#describeFailure(error instanceof Error ? error.message : String(error));
+      return this.#describeFailure(describeError(error));
     }
   }
 
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -2,3 +2,4 @@
 export type * from './names.ts';
 export * from './outcome.ts';
 export * from './random.ts';
+export * from './reason.ts';
--- a/packages/operator/src/listener.ts
+++ b/packages/operator/src/listener.ts
@@ -1,8 +1,8 @@
-import { FaultKind, createFault, type Fault } from '@currantgap/model';
+import { FaultKind, createFault, type Fault, describeError } from '@currantgap/model';
+import { isSameSecret } from '@currantgap/environment';
+import { listenOn } from '@currantgap/tasks';
 import type { Logger, Metrics } from '@currantgap/telemetry';
-import { timingSafeEqual } from 'node:crypto';
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { err, type Result } from 'neverthrow';
 import { OperatorPath, parsePath } from './api.ts';
 import type { OperatorService } from './service.ts';
@@ -40,7 +40,7 @@
     this.#options = options;
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch((error: unknown) => {
-        const reason = error instanceof Error ? error.message : String(error);
+        const reason = describeError(error);
         options.logger.writeError('operator request failed', { reason });
         response.destroy();
       });
@@ -49,11 +49,7 @@
 
   /** Listens on an address and returns the port taken. */
   async listen(host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    return (this.#server.address() as AddressInfo).port;
+    return listenOn(this.#server, host, port);
   }
 
   /** Stops listening. */
@@ -85,9 +81,7 @@
   }
 
   #isAuthorised(request: IncomingMessage): boolean {
-    const shown = Buffer.from(request.headers.authorization ?? '');
-    const expected = Buffer.from(`Bearer ${this.#options.key}`);
-    return shown.length === expected.length && timingSafeEqual(shown, expected);
+    return isSameSecret(request.headers.authorization ?? '', `Bearer ${this.#options.key}`);
   }
 }
 
--- a/packages/peer/src/server.ts
+++ b/packages/peer/src/server.ts
@@ -1,9 +1,10 @@
 import { Code, ConnectError, type ServiceImpl } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { isSameSecret } from '@currantgap/environment';
+import { listenOn } from '@currantgap/tasks';
 import type { Logger, TrafficMeter } from '@currantgap/telemetry';
-import { timingSafeEqual } from 'node:crypto';
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { PeerService } from './gen/currantgap/peer/v1/peer_pb.ts';
 import { PEER_KEY_HEADER } from './key.ts';
 
@@ -25,14 +26,13 @@
   readonly #sessions = new Set<ServerHttp2Session>();
 
   constructor(options: PeerServerOptions) {
-    const { handler, logger, traffic } = options;
-    const key = Buffer.from(options.key);
+    const { handler, key, logger, traffic } = options;
     this.#server = createServer(
       connectNodeAdapter({
         routes: (router) => router.service(PeerService, handler),
         interceptors: [
           (next) => async (request) => {
-            if (!isSameKey(request.header.get(PEER_KEY_HEADER), key)) {
+            if (!isSameSecret(request.header.get(PEER_KEY_HEADER) ?? '', key)) {
               logger.writeWarning('refused a peer with a wrong key', {
                 method: request.method.name,
               });
@@ -58,11 +58,7 @@
 
   /** Listens on an address and returns the port taken. */
   async listen(host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(port, host, resolve);
-    });
-    return (this.#server.address() as AddressInfo).port;
+    return listenOn(this.#server, host, port);
   }
 
   /** Stops listening and closes every session. */
@@ -71,8 +67,3 @@
     for (const session of this.#sessions) session.destroy();
   }
 }
-
-function isSameKey(shown: string | null, key: Buffer): boolean {
-  const buffer = Buffer.from(shown ?? '');
-  return buffer.length === key.length && timingSafeEqual(buffer, key);
-}
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -1,4 +1,4 @@
-import { createFault, FaultKind, type Fault } from '@currantgap/model';
+import { createFault, FaultKind, type Fault, describeError } from '@currantgap/model';
 import type { TrafficMeter } from '@currantgap/telemetry';
 import { Agent, request, type IncomingMessage } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
@@ -45,7 +45,7 @@
     try {
       return ok(await this.#send(call));
     } catch (error) {
-      const reason = error instanceof Error ? error.message : String(error);
+      const reason = describeError(error);
       return err(
         createFault(
           FaultKind.OutcomeUnknown,
--- a/packages/spec/src/freshness-spec.ts
+++ b/packages/spec/src/freshness-spec.ts
@@ -1,3 +1,4 @@
+import { hasBit } from './bits.ts';
 import { Specification } from './explore.ts';
 import {
   type EntryState,
@@ -16,7 +17,6 @@
   encodeEntry,
   getEntry,
   getView,
-  hasBit,
   hasMajority,
   promise,
   propose,
--- a/packages/spec/src/freshness-state.ts
+++ b/packages/spec/src/freshness-state.ts
@@ -184,10 +184,6 @@
   return { ...entry, promised, announced: 0, vouchers: 0, isVouchedFor: false };
 }
 
-export function hasBit(set: number, index: number): boolean {
-  return ((set >> index) & 1) === 1;
-}
-
 function countBits(set: number): number {
   let count = 0;
   for (let rest = set; rest > 0; rest >>= 1) count += rest & 1;
--- a/packages/spec/src/permit-spec.ts
+++ b/packages/spec/src/permit-spec.ts
@@ -1,3 +1,4 @@
+import { hasBit } from './bits.ts';
 import { Specification } from './explore.ts';
 import {
   type Message,
@@ -14,7 +15,6 @@
   deliver,
   getEntry,
   give,
-  hasBit,
   hasQuarantineEnded,
   receiveReport,
   setEntry,
--- a/packages/spec/src/permit-state.ts
+++ b/packages/spec/src/permit-state.ts
@@ -1,3 +1,4 @@
+import { hasBit } from './bits.ts';
 import type { Step } from './explore.ts';
 
 /** Rules of the permit protocol that a seeded fault leaves out. */
@@ -162,10 +163,6 @@
   return { ...state, entries: state.entries.map((other, at) => (at === index ? entry : other)) };
 }
 
-export function hasBit(set: number, index: number): boolean {
-  return ((set >> index) & 1) === 1;
-}
-
 export function countIn(state: PermitState): number {
   return state.entries.filter((_, index) => !hasBit(state.removed, index)).length;
 }
