--- /dev/null
+++ b/packages/execution/src/context.ts
@@ -0,0 +1,56 @@
+import type { Route } from '@currantgap/model';
+import type { Term } from '@currantgap/ownership';
+import type { DurationModel } from '@currantgap/scheduling';
+import type { Clock } from '@currantgap/tasks';
+import type { Logger } from '@currantgap/telemetry';
+import type { Fleet } from './fleet.ts';
+import type { JobBook, JobRecord } from './job-book.ts';
+import type { Ledger } from './ledger.ts';
+import type { OperatorView, OwnerMessage } from './messages.ts';
+import type { TargetPort } from './ports.ts';
+import type { Settling } from './settling.ts';
+
+/** Bounds of the deployment that the owner keeps to; milliseconds. */
+export interface OwnerBounds {
+  /** Longest lease that a target grants. */
+  readonly leaseMaximumMs: number;
+  readonly stopMs: number;
+  readonly remoteFactor: number;
+  readonly statusMs: number;
+  readonly holderChangeMs: number;
+  readonly noticeMs: number;
+  readonly moveMs: number;
+  readonly maintenanceMs: number;
+  readonly harmMs: number;
+}
+
+/** State of one term, shared by the parts of the owner's task. */
+export interface OwnerContext {
+  readonly term: Term;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly bounds: OwnerBounds;
+  readonly targetPort: TargetPort;
+  readonly fleet: Fleet;
+  readonly jobs: JobBook;
+  /** Jobs that have not ended, by id. */
+  readonly active: Map<string, JobRecord>;
+  readonly ledger: Ledger;
+  readonly durations: DurationModel;
+  readonly settling: Settling;
+  readonly getOperatorView: () => OperatorView;
+  /** Sends a message to the owner's own task. */
+  readonly post: (message: OwnerMessage) => void;
+  /** Gives the term up. */
+  readonly depose: (reason: string) => void;
+}
+
+/** Unix milliseconds of a context's node. */
+export function getWallNow(): number {
+  return Date.now();
+}
+
+/** Failures that a task of a route may have. */
+export function getMaximumAttempts(route: Route | undefined): number {
+  return route?.maxAttempts ?? 1;
+}
--- /dev/null
+++ b/packages/execution/src/fleet.ts
@@ -0,0 +1,88 @@
+import type { Attempt, TaskRun } from '@currantgap/jobs';
+import { TargetState, type TargetEntry } from '@currantgap/model';
+import { ResourceSum } from '@currantgap/scheduling';
+import { TargetRecord, type Assignment } from './target-record.ts';
+
+/** All targets, what is assigned to them and what each team has running. */
+export class Fleet {
+  readonly #targets = new Map<string, TargetRecord>();
+  readonly #running = new Map<string, ResourceSum>();
+
+  get targets(): Iterable<TargetRecord> {
+    return this.#targets.values();
+  }
+
+  find(id: string): TargetRecord | undefined {
+    return this.#targets.get(id);
+  }
+
+  /** Lists the registered targets of a service. */
+  listPool(service: string): TargetRecord[] {
+    const pool: TargetRecord[] = [];
+    for (const target of this.#targets.values()) {
+      if (target.isRegistered && target.entry.service === service) pool.push(target);
+    }
+    return pool;
+  }
+
+  /** Applies a registration. `lapsesAt` bounds leases that a predecessor may have granted there. */
+  register(entry: TargetEntry, lapsesAt: number): TargetRecord {
+    const known = this.#targets.get(entry.id);
+    if (known === undefined) {
+      const created = new TargetRecord(entry, lapsesAt);
+      this.#targets.set(entry.id, created);
+      return created;
+    }
+    if (known.entry.bornAt !== entry.bornAt) known.isLifetimeDoubtful = true;
+    known.entry = entry;
+    known.isRegistered = true;
+    return known;
+  }
+
+  /** Marks a target whose entry is gone; it is forgotten once nothing can run there. */
+  unregister(id: string): TargetRecord | undefined {
+    const target = this.#targets.get(id);
+    if (target !== undefined) target.isRegistered = false;
+    return target;
+  }
+
+  /** Forgets a target without entry on which nothing is assigned. */
+  forget(target: TargetRecord): void {
+    if (!target.isRegistered && target.assignmentCount === 0) this.#targets.delete(target.id);
+  }
+
+  assign(target: TargetRecord, task: TaskRun, attempt: Attempt): void {
+    task.attempts.push(attempt);
+    target.assign(task, attempt);
+    this.getRunning(task.step.job.stored.team).add(task.step.definition.request);
+  }
+
+  /** Removes a run that has ended or never began. */
+  unassign(target: TargetRecord, assignment: Assignment): void {
+    const { task, attempt } = assignment;
+    if (target.unassign(task.name, attempt.run) === undefined) return;
+    task.removeAttempt(attempt);
+    this.getRunning(task.step.job.stored.team).remove(task.step.definition.request);
+  }
+
+  /** What a team has running on all targets. */
+  getRunning(team: string): ResourceSum {
+    const known = this.#running.get(team);
+    if (known !== undefined) return known;
+    const created = new ResourceSum();
+    this.#running.set(team, created);
+    return created;
+  }
+
+  /** Lists the targets on which a lease may still run. */
+  listLeased(now: number): string[] {
+    const ids: string[] = [];
+    for (const target of this.#targets.values()) if (target.lapsesAt > now) ids.push(target.id);
+    return ids;
+  }
+
+  /** Tells whether a draining target is about to leave. */
+  isLeaving(target: TargetRecord): boolean {
+    return target.entry.state === TargetState.Draining;
+  }
+}
--- /dev/null
+++ b/packages/execution/src/index.ts
@@ -0,0 +1,6 @@
+export * from './context.ts';
+export * from './job-book.ts';
+export { LEDGER_TABLE } from './ledger.ts';
+export * from './messages.ts';
+export * from './owner.ts';
+export * from './ports.ts';
--- /dev/null
+++ b/packages/execution/src/orders.ts
@@ -0,0 +1,186 @@
+import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
+import type { OwnerBounds, OwnerContext } from './context.ts';
+import { OrderOutcome, StartOutcome } from './ports.ts';
+import { CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
+
+/** Milliseconds for which a start's deadline and a lease run: long enough for a take-over. */
+export const LEASE_MS = 4_000;
+/** Milliseconds after which an unanswered stop is sent again. */
+const STOP_RETRY_MS = 400;
+/** Milliseconds for which a target that refused work gets none. */
+const REFUSAL_PAUSE_MS = 400;
+/** Milliseconds after which a start that the target called malformed is tried again. */
+const MALFORMED_PAUSE_MS = 5_000;
+/** Run numbers of one epoch: a successor's are higher even for starts it never heard of. */
+const RUNS_PER_EPOCH = 10_000;
+
+/** Gets the next run number of a step. */
+export function takeRunNumber(context: OwnerContext, task: TaskRun): number {
+  task.step.starts += 1;
+  return context.term.epoch * RUNS_PER_EPOCH + task.step.starts;
+}
+
+/** Milliseconds of a lease, within what targets grant. */
+export function getLeaseMs(bounds: OwnerBounds): number {
+  return Math.min(LEASE_MS, bounds.leaseMaximumMs);
+}
+
+/** Sends starts and stops and applies their answers. */
+export class Orders {
+  readonly #context: OwnerContext;
+
+  constructor(context: OwnerContext) {
+    this.#context = context;
+  }
+
+  /** Assigns a task to a target and sends the start. */
+  start(task: TaskRun, target: TargetRecord, run: number, ticket?: string): void {
+    const { clock, fleet, post, targetPort, term } = this.#context;
+    const { now } = clock;
+    const leaseMs = getLeaseMs(this.#context.bounds);
+    const deadline = target.grantLease(leaseMs, now);
+    const attempt = buildAttempt(target, run, AttemptPhase.Starting, now);
+    attempt.expiresAt = now + leaseMs / CLOCK_RATE;
+    const assignment = { task, attempt };
+    fleet.assign(target, task, attempt);
+    const { job } = task.step;
+    const order = {
+      task: task.name,
+      run,
+      spec: job.stored.submission.spec,
+      deadline,
+      token: term.token,
+      checkpoint: task.checkpoint,
+      ticket,
+    };
+    void targetPort.start(target.address, order).then((outcome) => {
+      post({ kind: 'started', target, assignment, outcome });
+    });
+  }
+
+  /** Stops a run; its room is free once the end is listed. */
+  stop(assignment: Assignment, reason: string): void {
+    const target = this.#context.fleet.find(assignment.attempt.targetId);
+    if (target === undefined) return;
+    const { task, attempt } = assignment;
+    if (attempt.phase !== AttemptPhase.Stopping) {
+      this.#context.logger.writeInfo('run stopped', {
+        request: task.step.job.id,
+        task: task.name,
+        run: attempt.run,
+        target: target.id,
+        reason,
+      });
+      attempt.phase = AttemptPhase.Stopping;
+      attempt.stopAnsweredAt = undefined;
+    }
+    this.#sendStop(target, assignment);
+  }
+
+  /** Asks a target to refuse a run that it may not have begun; the run goes on if it has. */
+  resolveUncertain(assignment: Assignment): void {
+    const target = this.#context.fleet.find(assignment.attempt.targetId);
+    if (target !== undefined) this.#sendStop(target, assignment);
+  }
+
+  /** Applies the answer to a start. */
+  applyStarted(target: TargetRecord, assignment: Assignment, outcome: StartOutcome): void {
+    const { clock, logger } = this.#context;
+    const { task, attempt } = assignment;
+    const { now } = clock;
+    if (target.find(task.name, attempt.run) === undefined) return;
+    attempt.settledAt = now;
+    const { job } = task.step;
+    logger.writeInfo('start answered', {
+      request: job.id,
+      task: task.name,
+      run: attempt.run,
+      target: target.id,
+      outcome,
+      tookMs: Math.round(now - attempt.startedAt),
+    });
+    switch (outcome) {
+      case StartOutcome.Accepted:
+        if (attempt.phase === AttemptPhase.Starting) attempt.phase = AttemptPhase.Running;
+        job.hasStarted = true;
+        return;
+      case StartOutcome.Unknown:
+        target.silences += 1;
+        if (attempt.phase === AttemptPhase.Starting) attempt.phase = AttemptPhase.Uncertain;
+        return;
+      case StartOutcome.Fenced:
+        this.#withdraw(target, assignment);
+        this.#context.depose(`target ${target.id} has seen a higher token`);
+        return;
+      case StartOutcome.OtherLifetime:
+        target.isLifetimeDoubtful = true;
+        target.blockedUntil = now + REFUSAL_PAUSE_MS;
+        break;
+      case StartOutcome.Malformed:
+        task.notBefore = now + MALFORMED_PAUSE_MS;
+        break;
+      case StartOutcome.NoRoom:
+      case StartOutcome.Unhealthy:
+      case StartOutcome.Unsent:
+        target.blockedUntil = now + REFUSAL_PAUSE_MS;
+        break;
+      case StartOutcome.Superseded:
+      case StartOutcome.Late:
+      case StartOutcome.TicketInvalid:
+        break;
+    }
+    this.#withdraw(target, assignment);
+  }
+
+  /** Applies the answer to a stop. */
+  applyStopped(target: TargetRecord, assignment: Assignment, outcome: OrderOutcome): void {
+    const { clock, depose } = this.#context;
+    const { attempt } = assignment;
+    if (outcome === OrderOutcome.Fenced) {
+      depose(`target ${target.id} has seen a higher token`);
+      return;
+    }
+    if (outcome === OrderOutcome.Accepted) attempt.stopAnsweredAt = clock.now;
+    if (outcome === OrderOutcome.OtherLifetime) target.isLifetimeDoubtful = true;
+  }
+
+  #sendStop(target: TargetRecord, assignment: Assignment): void {
+    const { clock, post, targetPort, term } = this.#context;
+    const { task, attempt } = assignment;
+    if (clock.now < attempt.stopRetryAt || attempt.stopAnsweredAt !== undefined) return;
+    attempt.stopRetryAt = clock.now + STOP_RETRY_MS;
+    const order = { task: task.name, run: attempt.run, token: term.token };
+    void targetPort.stop(target.address, order).then((outcome) => {
+      post({ kind: 'stopped', target, assignment, outcome });
+    });
+  }
+
+  #withdraw(target: TargetRecord, assignment: Assignment): void {
+    this.#context.fleet.unassign(target, assignment);
+  }
+}
+
+/** Creates a run as it is first known. */
+export function buildAttempt(
+  target: TargetRecord,
+  run: number,
+  phase: AttemptPhase,
+  now: number,
+): Attempt {
+  return {
+    run,
+    targetId: target.id,
+    bornAt: target.entry.bornAt,
+    phase,
+    startedAt: now,
+    expiresAt: now,
+    percent: 0,
+    progressedAt: now,
+    reading: 0,
+    pace: 100,
+    settledAt: now,
+    stopRetryAt: 0,
+    stopAnsweredAt: undefined,
+    atWorkSince: undefined,
+  };
+}
--- /dev/null
+++ b/packages/execution/src/owner.ts
@@ -0,0 +1,366 @@
+import { AttemptPhase, type Job } from '@currantgap/jobs';
+import { JobState, type TargetEntry } from '@currantgap/model';
+import { OWNER_PART, type Term } from '@currantgap/ownership';
+import { DurationModel, WeightMeter } from '@currantgap/scheduling';
+import { Follower, readAll, type Row, type Store } from '@currantgap/store';
+import { Task, type Clock } from '@currantgap/tasks';
+import type { Logger } from '@currantgap/telemetry';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { getWallNow, type OwnerBounds, type OwnerContext } from './context.ts';
+import { Fleet } from './fleet.ts';
+import { Holds } from './holds.ts';
+import { INTAKE_PART, INTAKE_TABLE, JobBook, type JobRecord } from './job-book.ts';
+import { Ledger, LEDGER_TABLE } from './ledger.ts';
+import type { OperatorView, OwnerMessage } from './messages.ts';
+import { getLeaseMs, Orders } from './orders.ts';
+import { Planner } from './planner.ts';
+import { HoldFault, type TargetPort } from './ports.ts';
+import { Reports } from './reports.ts';
+import { Settling } from './settling.ts';
+import { CLOCK_RATE, type TargetRecord } from './target-record.ts';
+
+/** Milliseconds between rounds over all targets and jobs. */
+const TICK_MS = 100;
+/** Milliseconds in which events gather for one plan. */
+const PLAN_GATHER_MS = 4;
+/** Milliseconds between an answer of the intake's feed and the next poll. */
+const INTAKE_PAUSE_MS = 15;
+/** Milliseconds between an answer of the registry's feed and the next poll. */
+const REGISTRY_PAUSE_MS = 150;
+/** Milliseconds before a read that failed at the start of a term is tried again. */
+const READ_RETRY_MS = 150;
+/** Milliseconds beyond a computed lapse before a run counts as gone. */
+const LAPSE_MARGIN_MS = 100;
+
+/** Where the registry lies and how its entries read. */
+export interface Registry {
+  readonly table: string;
+  readonly decode: (id: string, value: string) => TargetEntry | undefined;
+}
+
+/** Options of one term's owner. */
+export interface OwnerOptions {
+  readonly term: Term;
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly bounds: OwnerBounds;
+  readonly targetPort: TargetPort;
+  readonly registry: Registry;
+  readonly getOperatorView: () => OperatorView;
+  /** Told once when another node has taken over. */
+  readonly onDeposed: (reason: string) => void;
+}
+
+/** Decides all for one term: order, placement, stops and what is noted. */
+export class Owner extends Task<OwnerMessage> {
+  readonly #options: OwnerOptions;
+  readonly #context: OwnerContext;
+  readonly #orders: Orders;
+  readonly #reports: Reports;
+  readonly #holds: Holds;
+  readonly #planner: Planner;
+  readonly #weights = new WeightMeter();
+  readonly #followers: Follower[] = [];
+  #ticker: NodeJS.Timeout | undefined;
+  #isPlanDue = false;
+  #isLoaded = false;
+  #isEnded = false;
+
+  constructor(options: OwnerOptions) {
+    super();
+    this.#options = options;
+    this.#context = this.#buildContext();
+    this.#orders = new Orders(this.#context);
+    this.#reports = new Reports(this.#context, this.#orders);
+    this.#holds = new Holds(this.#context);
+    this.#planner = new Planner(this.#context, this.#orders);
+  }
+
+  /** Reads what earlier terms left and begins to decide. */
+  async open(): Promise<void> {
+    this.start();
+    await this.#loadLedger();
+    this.#follow(INTAKE_TABLE, INTAKE_PART, INTAKE_PAUSE_MS, 'intake');
+    this.#ticker = setInterval(() => {
+      this.post({ kind: 'tick' });
+    }, TICK_MS);
+  }
+
+  /** Stops deciding; what is changed and not written is written once more on a hand-over. */
+  async close(isHandOver: boolean): Promise<void> {
+    if (this.#isEnded) return;
+    this.#isEnded = true;
+    clearInterval(this.#ticker);
+    for (const follower of this.#followers) follower.stop();
+    if (isHandOver) await this.#context.ledger.flush();
+    this.#context.ledger.stop();
+    this.stop();
+  }
+
+  /** Targets on which leases may run. */
+  listLeasedTargets(): string[] {
+    return [
+      ...this.#context.fleet.listLeased(this.#context.clock.now),
+      ...this.#context.settling.listAwaited(),
+    ];
+  }
+
+  /** State of a job as callers may see it; undefined where the job is not known here. */
+  findState(id: string): JobState | undefined {
+    const job = this.#context.jobs.find(id);
+    if (job === undefined) return undefined;
+    if (!job.isEnded) return job.hasStarted ? JobState.Running : JobState.Pending;
+    const isStored = job.storedState === job.state;
+    return isStored || job.state === JobState.Cancelled ? job.state : JobState.Running;
+  }
+
+  /** Counts a route's jobs of which no task has started; undefined before all are read. */
+  countWaiting(route: string): number | undefined {
+    if (!this.#isLoaded) return undefined;
+    let count = 0;
+    for (const { job } of this.#context.active.values()) {
+      if (job.stored.route === route && !job.hasStarted) count += 1;
+    }
+    return count;
+  }
+
+  protected handle(message: OwnerMessage): void {
+    if (this.#isEnded) return;
+    switch (message.kind) {
+      case 'ledger-read':
+        this.#context.jobs.loadLedger(message.rows);
+        break;
+      case 'intake':
+        this.#applyIntake(message.rows, message.isWhole);
+        break;
+      case 'registry':
+        this.#applyRegistry(message.rows, message.isWhole);
+        break;
+      case 'configured':
+        this.#refreshRoutes();
+        break;
+      case 'held':
+        this.#applyHeld(message);
+        break;
+      case 'started':
+        this.#orders.applyStarted(message.target, message.assignment, message.outcome);
+        break;
+      case 'stopped':
+        this.#orders.applyStopped(message.target, message.assignment, message.outcome);
+        break;
+      case 'written':
+        this.#holds.recordWritten(message.generation);
+        return;
+      case 'tick':
+        this.#sweep();
+        break;
+      case 'plan':
+        this.#isPlanDue = false;
+        this.#planner.plan();
+        return;
+    }
+    this.#schedulePlan();
+  }
+
+  #buildContext(): OwnerContext {
+    const { term, clock, logger, bounds, targetPort, store, getOperatorView } = this.#options;
+    const depose = (reason: string): void => {
+      if (!this.#isEnded) this.#options.onDeposed(reason);
+    };
+    const post = (message: OwnerMessage): void => {
+      if (!this.post(message) && !this.#isEnded) {
+        logger.writeError('owner mailbox full', { kind: message.kind });
+      }
+    };
+    const ledger = new Ledger({
+      store,
+      term,
+      logger,
+      onWritten: (generation) => {
+        post({ kind: 'written', generation });
+      },
+      onFenced: () => {
+        depose('the fence has changed');
+      },
+    });
+    const leaseMs = getLeaseMs(bounds) / CLOCK_RATE;
+    return {
+      term,
+      clock,
+      logger,
+      bounds,
+      targetPort,
+      fleet: new Fleet(),
+      jobs: new JobBook(logger),
+      active: new Map<string, JobRecord>(),
+      ledger,
+      durations: new DurationModel(),
+      settling: new Settling(term, leaseMs, clock.now),
+      getOperatorView,
+      post,
+      depose,
+    };
+  }
+
+  async #loadLedger(): Promise<void> {
+    while (!this.#isEnded) {
+      const page = await readAll(this.#options.store, LEDGER_TABLE, OWNER_PART);
+      if (page.isOk()) {
+        this.#context.post({ kind: 'ledger-read', rows: page.value.rows });
+        return;
+      }
+      await sleep(READ_RETRY_MS);
+    }
+  }
+
+  #follow(table: string, part: string, pauseMs: number, kind: 'intake' | 'registry'): void {
+    const follower = new Follower({
+      store: this.#options.store,
+      table,
+      part,
+      pauseMs,
+      onRows: (rows, isWhole) => {
+        this.#context.post({ kind, rows, isWhole });
+      },
+    });
+    this.#followers.push(follower);
+    void follower.run();
+  }
+
+  #applyIntake(rows: readonly Row[], isWhole: boolean): void {
+    const isFirst = isWhole && !this.#isLoaded;
+    for (const row of rows) this.#applyIntakeRow(row, isFirst);
+    if (!isFirst) return;
+    this.#isLoaded = true;
+    this.#context.logger.writeInfo('jobs read', { active: this.#context.active.size });
+    this.#follow(this.#options.registry.table, '', REGISTRY_PAUSE_MS, 'registry');
+  }
+
+  #applyIntakeRow(row: Row, isInherited: boolean): void {
+    const { active, logger } = this.#context;
+    const change = this.#context.jobs.applyRow(row);
+    if (change === undefined) return;
+    const { job } = change;
+    logger.writeInfo(`job ${change.kind}`, {
+      request: job.id,
+      route: job.stored.route,
+      team: job.stored.team,
+      state: job.state,
+      version: row.version,
+    });
+    if (change.kind === 'cancelled') this.#endJob(job, 'cancelled');
+    else if (!job.isEnded) active.set(job.id, this.#buildRecord(job, isInherited));
+  }
+
+  #endJob(job: Job, reason: string): void {
+    for (const assignment of job.listAttempts()) this.#orders.stop(assignment, reason);
+    this.#reports.keep(job.id);
+  }
+
+  #buildRecord(job: Job, isInherited: boolean): JobRecord {
+    const { clock, getOperatorView } = this.#context;
+    const { team, acceptedAt, route } = job.stored;
+    const { configuration } = getOperatorView();
+    const weight = configuration?.teams.find(({ name }) => name === team)?.weight;
+    const age = isInherited ? Math.max(0, getWallNow() - acceptedAt) : 0;
+    return {
+      job,
+      arrivedAt: clock.now - age,
+      isInherited,
+      isWithinWeight: weight === undefined || this.#weights.record(team, weight, acceptedAt),
+      route: configuration?.routes.find(({ name }) => name === route),
+    };
+  }
+
+  #refreshRoutes(): void {
+    const { configuration } = this.#context.getOperatorView();
+    for (const record of this.#context.active.values()) {
+      const { route } = record.job.stored;
+      record.route = configuration?.routes.find(({ name }) => name === route) ?? record.route;
+    }
+  }
+
+  #applyRegistry(rows: readonly Row[], isWhole: boolean): void {
+    const { fleet, logger, settling } = this.#context;
+    if (isWhole) {
+      const present = new Set(rows.map((row) => row.key));
+      for (const target of [...fleet.targets]) {
+        if (!present.has(target.id)) fleet.unregister(target.id);
+      }
+    }
+    for (const row of rows) {
+      const entry = row.isDeleted ? undefined : this.#options.registry.decode(row.key, row.value);
+      if (entry === undefined) {
+        const target = fleet.unregister(row.key);
+        if (target !== undefined) logger.writeInfo('target unregistered', { target: row.key });
+        continue;
+      }
+      const known = fleet.find(entry.id);
+      const target = fleet.register(entry, isWhole ? settling.deadline : 0);
+      if (known === undefined && isWhole) settling.expect(entry.id);
+      if (known === undefined) this.#reportTarget(target);
+    }
+    this.#holds.sendDue();
+  }
+
+  #reportTarget(target: TargetRecord): void {
+    const { service, dataCentre, address } = target.entry;
+    this.#context.logger.writeInfo('target registered', {
+      target: target.id,
+      service,
+      dataCentre,
+      address,
+      rack: target.rack,
+    });
+  }
+
+  #applyHeld(message: OwnerMessage & { kind: 'held' }): void {
+    const { logger, depose } = this.#context;
+    const { target, report, sentAt } = message;
+    target.isHolding = false;
+    if (report.isOk()) {
+      const generation = this.#reports.apply(target, report.value, sentAt);
+      this.#holds.continue(target, generation);
+      return;
+    }
+    if (report.error === HoldFault.Fenced) {
+      depose(`target ${target.id} has seen a higher token`);
+      return;
+    }
+    if (target.silences === 0) {
+      logger.writeWarning('target silent', { target: target.id, reason: report.error });
+    }
+    this.#holds.recordSilence(target);
+    if (report.error === HoldFault.OtherLifetime) {
+      this.#context.settling.record(target.id);
+      this.#reports.loseAll(target, 'another lifetime answers');
+    }
+  }
+
+  #sweep(): void {
+    const { active, clock, fleet } = this.#context;
+    const { now } = clock;
+    for (const target of [...fleet.targets]) {
+      if (target.assignmentCount > 0 && now > target.lapsesAt + LAPSE_MARGIN_MS) {
+        this.#reports.loseAll(target, 'lease lapsed');
+      }
+      for (const { task, attempt } of target.assignments) {
+        if (attempt.phase === AttemptPhase.Stopping)
+          this.#orders.stop({ task, attempt }, 'repeated');
+      }
+    }
+    for (const record of active.values()) {
+      if (record.route === undefined) this.#refreshRoutes();
+    }
+    this.#holds.sendDue();
+  }
+
+  #schedulePlan(): void {
+    if (this.#isPlanDue || !this.#isLoaded) return;
+    this.#isPlanDue = true;
+    setTimeout(() => {
+      this.#context.post({ kind: 'plan' });
+    }, PLAN_GATHER_MS);
+  }
+}
--- /dev/null
+++ b/packages/execution/src/planner.ts
@@ -0,0 +1,210 @@
+import { computeChain, computeRemainingChain, type StepRun, type TaskRun } from '@currantgap/jobs';
+import type { Resources } from '@currantgap/model';
+import {
+  chooseTarget,
+  compareUrgency,
+  getFootprint,
+  hasRoom,
+  isWithinCap,
+  type PlacementRequest,
+  type Urgent,
+} from '@currantgap/scheduling';
+import { getWallNow, type OwnerContext } from './context.ts';
+import type { JobRecord } from './job-book.ts';
+import { takeRunNumber, type Orders } from './orders.ts';
+import type { TargetRecord } from './target-record.ts';
+
+/** A late end still counts up to this multiple of the objective. */
+const LATE_MULTIPLE = 3;
+
+/** A step whose tasks wait for targets. */
+interface ReadyStep extends Urgent {
+  readonly record: JobRecord;
+  readonly step: StepRun;
+  readonly waiting: readonly TaskRun[];
+}
+
+/** Places waiting tasks on targets and orders their starts. */
+export class Planner {
+  readonly #context: OwnerContext;
+  readonly #orders: Orders;
+
+  constructor(context: OwnerContext, orders: Orders) {
+    this.#context = context;
+    this.#orders = orders;
+  }
+
+  /** Starts what can start now. */
+  plan(): void {
+    for (const [service, steps] of this.#listReadySteps()) {
+      steps.sort(compareUrgency);
+      const open = this.#listOpenTargets(service);
+      for (const step of steps) this.#place(step, open);
+    }
+  }
+
+  /** Lists the targets of a pool that take new work now. */
+  #listOpenTargets(service: string): TargetRecord[] {
+    const { clock, fleet, getOperatorView } = this.#context;
+    const { evacuated } = getOperatorView();
+    return fleet
+      .listPool(service)
+      .filter((target) => target.isOpen(clock.now) && !evacuated.has(target.entry.dataCentre));
+  }
+
+  #listReadySteps(): Map<string, ReadyStep[]> {
+    const { active, clock, settling } = this.#context;
+    const { now } = clock;
+    const wallNow = getWallNow();
+    const isSettled = settling.isSettled(now);
+    const byService = new Map<string, ReadyStep[]>();
+    for (const record of active.values()) {
+      if (record.route === undefined || (record.isInherited && !isSettled)) continue;
+      for (const step of record.job.listOpenSteps(wallNow)) {
+        const waiting = step.listWaiting(now);
+        if (waiting.length === 0) continue;
+        const ready = this.#describe(record, step, waiting, wallNow);
+        const { service } = record.route;
+        const list = byService.get(service);
+        if (list === undefined) byService.set(service, [ready]);
+        else list.push(ready);
+      }
+    }
+    return byService;
+  }
+
+  #describe(
+    record: JobRecord,
+    step: StepRun,
+    waiting: readonly TaskRun[],
+    wallNow: number,
+  ): ReadyStep {
+    const { clock, durations } = this.#context;
+    const { job, route } = record;
+    const getTaskMs = (definition: StepRun['definition']): number =>
+      durations.getTaskMs(job.stored.route, definition);
+    const chainMs = computeChain(job.stored.submission.steps, getTaskMs);
+    const objectiveMs = (route?.stretch ?? 1) * chainMs + (route?.latencyObjectiveMs ?? 0);
+    const { dueAt } = step.occurrence;
+    const elapsedMs = dueAt > 0 ? wallNow - dueAt : clock.now - record.arrivedAt;
+    return {
+      record,
+      step,
+      waiting,
+      isPersistent: step.definition.isPersistent,
+      priority: route?.priority ?? 0,
+      leftMs: objectiveMs - elapsedMs,
+      lateLeftMs: LATE_MULTIPLE * objectiveMs - elapsedMs,
+      remainingMs: computeRemainingChain(step.occurrence, clock.now, getTaskMs),
+      isWithinWeight: record.isWithinWeight,
+      hasStarted: job.hasStarted,
+      acceptedAt: record.arrivedAt,
+    };
+  }
+
+  #place(ready: ReadyStep, open: readonly TargetRecord[]): void {
+    if (open.length === 0) return;
+    const { step, waiting } = ready;
+    if (step.definition.isGang) {
+      this.#placeGang(step, open);
+      return;
+    }
+    const request = this.#buildRequest(step);
+    for (const task of waiting) {
+      if (!this.#isWithinCap(step, step.definition.request)) return;
+      const target = chooseTarget({ ...request, failedOn: task.failedOn }, open);
+      if (target === undefined) return;
+      this.#orders.start(task, target, takeRunNumber(this.#context, task));
+    }
+  }
+
+  /** Starts a gang whole or not at all. */
+  #placeGang(step: StepRun, open: readonly TargetRecord[]): void {
+    if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
+      return;
+    const { request, count } = step.definition;
+    if (!this.#isWithinCap(step, computeMultiple(request, count))) return;
+    const racks = new Map<string, TargetRecord[]>();
+    for (const target of open) racks.set(target.rack, [...(racks.get(target.rack) ?? []), target]);
+    const groups = step.definition.isSameRack ? [...racks.values(), open] : [open];
+    for (const group of groups) {
+      const targets = this.#planGang(step, group);
+      if (targets === undefined) continue;
+      const [first] = step.tasks;
+      if (first === undefined) return;
+      const run = takeRunNumber(this.#context, first);
+      const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
+      for (const [index, task] of step.tasks.entries()) {
+        const target = targets[index];
+        if (target === undefined) continue;
+        task.checkpoint = checkpoint;
+        this.#orders.start(task, target, run);
+      }
+      return;
+    }
+  }
+
+  /** Chooses a target for each member, on paper. */
+  #planGang(step: StepRun, group: readonly TargetRecord[]): TargetRecord[] | undefined {
+    const footprint = getFootprint(step.definition);
+    const placed = new Map<string, number>();
+    const chosen: TargetRecord[] = [];
+    for (const task of step.tasks) {
+      const candidates = group.filter((target) =>
+        hasRoom(
+          target.capacity,
+          addTimes(target.used, footprint, placed.get(target.id) ?? 0),
+          footprint,
+        ),
+      );
+      const request = { ...this.#buildRequest(step), failedOn: task.failedOn };
+      const countOn = (id: string): number => request.countOn(id) + (placed.get(id) ?? 0);
+      const target = chooseTarget({ ...request, countOn }, candidates);
+      if (target === undefined) return undefined;
+      placed.set(target.id, (placed.get(target.id) ?? 0) + 1);
+      chosen.push(target);
+    }
+    return chosen;
+  }
+
+  #buildRequest(step: StepRun): Omit<PlacementRequest, 'failedOn'> & { failedOn: Set<string> } {
+    const { bounds, fleet } = this.#context;
+    const active = step.tasks.flatMap((task) => task.attempts)[0];
+    const stepRack = active === undefined ? undefined : fleet.find(active.targetId)?.rack;
+    return {
+      step: step.definition,
+      footprint: getFootprint(step.definition),
+      remoteFactor: bounds.remoteFactor,
+      stepRack,
+      countOn: (targetId) => countOn(step, targetId),
+      failedOn: new Set(),
+    };
+  }
+
+  #isWithinCap(step: StepRun, request: Resources): boolean {
+    const { fleet, getOperatorView } = this.#context;
+    const { team } = step.job.stored;
+    const known = getOperatorView().configuration?.teams.find(({ name }) => name === team);
+    return known === undefined || isWithinCap(known.cap, fleet.getRunning(team), request);
+  }
+}
+
+function countOn(step: StepRun, targetId: string): number {
+  let count = 0;
+  for (const task of step.tasks) {
+    for (const attempt of task.attempts) if (attempt.targetId === targetId) count += 1;
+  }
+  return count;
+}
+
+function computeMultiple(amount: Resources, times: number): Resources {
+  return addTimes({ cpuMillis: 0, memoryMb: 0, gpus: 0 }, amount, times);
+}
+
+function addTimes(base: Resources, amount: Resources, times: number): Resources {
+  return {
+    cpuMillis: base.cpuMillis + amount.cpuMillis * times,
+    memoryMb: base.memoryMb + amount.memoryMb * times,
+    gpus: base.gpus + amount.gpus * times,
+  };
+}
--- /dev/null
+++ b/packages/ingress/src/intake-writer.ts
@@ -0,0 +1,155 @@
+import { StoreFaultKind, type RowKey, type Store, type StoreFault } from '@currantgap/store';
+import type { Logger } from '@currantgap/telemetry';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+/** Rows in one transaction: a condition and a put each, in at most a hundred entries. */
+const ROWS_PER_TRANSACTION = 40;
+/** Bytes in one transaction, well under the megabyte that the protocol allows. */
+const BYTES_PER_TRANSACTION = 400_000;
+/** Transactions under way at once: one slow answer does not hold up all others. */
+const MAXIMUM_TRANSACTIONS = 3;
+/** Milliseconds before a write without an answer is tried again. */
+const RETRY_MS = 100;
+/** Failures in a row after which writes are refused unsent. */
+const FAILURES_TO_BREAK = 2;
+/** Milliseconds for which writes are refused unsent; then one is let through as a probe. */
+const BREAK_MS = 500;
+
+/** What became of a row. */
+export enum WriteOutcome {
+  Written = 'written',
+  /** The row was there already. */
+  Known = 'known',
+  /** It is not written and never will be by this call. */
+  Refused = 'refused',
+  /** It may be written, now or later. */
+  Unknown = 'unknown',
+}
+
+/** A row to write before a deadline. */
+export interface IntakeWrite {
+  readonly row: RowKey & { readonly value: string };
+  /** It must not exist yet. */
+  readonly isNew: boolean;
+  /** Steady instant after which the caller has gone. */
+  readonly deadline: number;
+}
+
+interface PendingWrite extends IntakeWrite {
+  /** A try of it got no answer, so it may be written later. */
+  isUncertain: boolean;
+  readonly resolve: (outcome: WriteOutcome) => void;
+}
+
+/** Writes rows of callers grouped into few transactions and finds out what became of each. */
+export class IntakeWriter {
+  readonly #store: Store;
+  readonly #logger: Logger;
+  #pending: PendingWrite[] = [];
+  #underWay = 0;
+  #failures = 0;
+  #brokenUntil = 0;
+
+  constructor(store: Store, logger: Logger) {
+    this.#store = store;
+    this.#logger = logger;
+  }
+
+  /** Tells whether the last calls to the store failed. */
+  get isBroken(): boolean {
+    return this.#failures >= FAILURES_TO_BREAK;
+  }
+
+  /** Writes a row; resolves when its fate is known or its deadline has passed. */
+  async write(write: IntakeWrite): Promise<WriteOutcome> {
+    if (this.isBroken && performance.now() < this.#brokenUntil) return WriteOutcome.Refused;
+    return new Promise((resolve) => {
+      this.#pending.push({ ...write, isUncertain: false, resolve });
+      this.#send();
+    });
+  }
+
+  #send(): void {
+    while (this.#pending.length > 0 && this.#underWay < MAXIMUM_TRANSACTIONS) {
+      const batch = this.#takeBatch();
+      this.#underWay += 1;
+      void this.#commit(batch).finally(() => {
+        this.#underWay -= 1;
+        this.#send();
+      });
+      // One transaction gathers what comes while it is under way; more only for what is left over.
+      if (this.#pending.length === 0) return;
+    }
+  }
+
+  #takeBatch(): PendingWrite[] {
+    const batch: PendingWrite[] = [];
+    let bytes = 0;
+    for (const write of this.#pending) {
+      bytes += write.row.value.length;
+      if (batch.length > 0 && bytes > BYTES_PER_TRANSACTION) break;
+      batch.push(write);
+      if (batch.length === ROWS_PER_TRANSACTION) break;
+    }
+    this.#pending = this.#pending.slice(batch.length);
+    return batch;
+  }
+
+  async #commit(batch: readonly PendingWrite[]): Promise<void> {
+    const result = await this.#store.commit({
+      conditions: batch
+        .filter(({ isNew }) => isNew)
+        .map(({ row: { table, part, key } }) => ({ table, part, key, version: 0 })),
+      puts: batch.map(({ row }) => row),
+      removals: [],
+    });
+    if (result.isOk()) {
+      this.#recover();
+      for (const write of batch) write.resolve(WriteOutcome.Written);
+      return;
+    }
+    await this.#handleFault(result.error, batch);
+  }
+
+  async #handleFault(fault: StoreFault, batch: readonly PendingWrite[]): Promise<void> {
+    if (fault.kind === StoreFaultKind.Conflict) {
+      this.#recover();
+      this.#resolveConflict(fault, batch);
+      return;
+    }
+    this.#recordFailure(fault);
+    if (fault.kind === StoreFaultKind.Unknown) {
+      for (const write of batch) write.isUncertain = true;
+    }
+    const now = performance.now();
+    const retried: PendingWrite[] = [];
+    for (const write of batch) {
+      if (!write.isUncertain) write.resolve(WriteOutcome.Refused);
+      else if (now + RETRY_MS >= write.deadline) write.resolve(WriteOutcome.Unknown);
+      else retried.push(write);
+    }
+    if (retried.length === 0) return;
+    await sleep(RETRY_MS);
+    this.#pending = [...retried, ...this.#pending];
+  }
+
+  /** Rows that exist were written before, by an earlier try or another node; the rest goes again. */
+  #resolveConflict(fault: StoreFault, batch: readonly PendingWrite[]): void {
+    const known = new Set(fault.rows.filter(({ version }) => version > 0).map(({ key }) => key));
+    const rest = batch.filter(({ row }) => !known.has(row.key));
+    for (const write of batch) if (known.has(write.row.key)) write.resolve(WriteOutcome.Known);
+    this.#pending = [...rest, ...this.#pending];
+  }
+
+  #recordFailure(fault: StoreFault): void {
+    this.#failures += 1;
+    this.#brokenUntil = performance.now() + BREAK_MS;
+    if (this.#failures !== FAILURES_TO_BREAK) return;
+    this.#logger.writeWarning('store lost', { reason: fault.message, kind: fault.kind });
+  }
+
+  #recover(): void {
+    if (this.isBroken) this.#logger.writeInfo('store regained');
+    this.#failures = 0;
+  }
+}
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -3,3 +3,5 @@
 export * from './outcome.ts';
 export * from './random.ts';
 export * from './reason.ts';
+export * from './deployment.ts';
+export * from './submission.ts';
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,1 @@
+export * from './run.ts';
--- /dev/null
+++ b/packages/node/src/node-metrics.ts
@@ -0,0 +1,42 @@
+import { FrontObserver } from '@currantgap/ingress';
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+const MILLISECONDS = 1_000;
+
+/** Counters and histograms of one node. */
+export class NodeMetrics extends FrontObserver {
+  readonly registry = new Registry();
+
+  readonly calls = new Counter({
+    name: 'currantgap_calls_total',
+    help: 'Calls of clients by method, route, team and status',
+    labelNames: ['method', 'route', 'team', 'status'],
+    registers: [this.registry],
+  });
+
+  readonly callSeconds = new Histogram({
+    name: 'currantgap_call_seconds',
+    help: 'Time from a call to its answer by route and team',
+    labelNames: ['route', 'team'],
+    buckets: SECONDS_BUCKETS,
+    registers: [this.registry],
+  });
+
+  readonly isOwner = new Gauge({
+    name: 'currantgap_owner',
+    help: '1 while this node owns the fleet',
+    registers: [this.registry],
+  });
+
+  readonly takeOvers = new Counter({
+    name: 'currantgap_take_overs_total',
+    help: 'Times that this node took the fleet over',
+    registers: [this.registry],
+  });
+
+  observe(method: string, route: string, team: string, status: number, ms: number): void {
+    this.calls.inc({ method, route, team, status });
+    this.callSeconds.observe({ route, team }, ms / MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/packages/node/src/run.ts
@@ -0,0 +1,40 @@
+import { describeError, formatFault } from '@currantgap/model';
+import { LineBuffer, Logger, setLogSink } from '@currantgap/telemetry';
+import { Node } from './node.ts';
+import { readSettingsFile, SettingsFile } from './settings-file.ts';
+
+const SETTINGS_VARIABLE = 'CURRANTGAP_SETTINGS';
+const DEFAULT_SETTINGS_PATH = '/etc/currantgap/local.conf';
+
+/** Runs a node until it is told to stop; returns the exit code of the process. */
+export async function runNode(): Promise<number> {
+  const lines = new LineBuffer(process.stdout);
+  setLogSink((line) => {
+    lines.write(line);
+  });
+  const path = process.env[SETTINGS_VARIABLE] ?? DEFAULT_SETTINGS_PATH;
+  const settings = readSettingsFile(path);
+  if (settings.isErr()) {
+    for (const fault of settings.error) process.stderr.write(`${formatFault(fault)}\n`);
+    return 2;
+  }
+  const logger = new Logger({ node: settings.value.node });
+  const file = new SettingsFile(path, settings.value, logger);
+  file.observe();
+  const node = new Node(file, logger);
+  try {
+    await node.start();
+  } catch (error) {
+    process.stderr.write(
+      `The node cannot start: ${describeError(error)}. Correct its addresses.\n`,
+    );
+    return 2;
+  }
+  await new Promise<void>((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+  await node.stop();
+  lines.close();
+  return 0;
+}
--- /dev/null
+++ b/packages/ownership/src/index.ts
@@ -0,0 +1,2 @@
+export * from './ownership.ts';
+export * from './rows.ts';
--- /dev/null
+++ b/packages/ownership/src/ownership.ts
@@ -0,0 +1,290 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Logger } from '@currantgap/telemetry';
+import { StoreFaultKind, type Row, type Store, type StoreFault } from '@currantgap/store';
+import { decodeLease, encodeLease, FENCE_ROW, LEASE_ROW, type LeaseRow } from './rows.ts';
+
+/** Milliseconds without a renewal after which a contender takes over: four renewals. */
+export const LEASE_MS = 2_000;
+/** Milliseconds between two renewals. */
+const RENEWAL_MS = 500;
+/** Milliseconds before a failed call is repeated. */
+const RETRY_MS = 150;
+/** Milliseconds that a named successor has before another contender takes a released lease. */
+const SUCCESSOR_HEAD_START_MS = 400;
+/** Longest wait of one poll, so that a stop is noticed. */
+const POLL_MS = 2_000;
+/** Shortest wait of one poll. */
+const MINIMUM_POLL_MS = 20;
+
+/** One node's time as the owner. */
+export interface Term {
+  readonly epoch: number;
+  /** Fencing token of all orders of this term: the version of the take-over. */
+  readonly token: number;
+  /** Version of the fence row, a condition of all writes of this term. */
+  readonly fenceVersion: number;
+  /** What the predecessor's lease row said. */
+  readonly predecessor: LeaseRow | undefined;
+}
+
+/** Told about changes of the owner. */
+export abstract class OwnershipListener {
+  abstract handleTaken(term: Term): void;
+  abstract handleLost(reason: string): void;
+  /** Targets on which this node may hold leases; they are written with each renewal. */
+  abstract listTargets(): readonly string[];
+}
+
+/** Options of a contender. */
+export interface OwnershipOptions {
+  readonly store: Store;
+  readonly logger: Logger;
+  readonly node: string;
+  readonly incarnation: string;
+  readonly address: string;
+  /** Milliseconds that this node waits beyond the lease, so that contenders do not collide. */
+  readonly patienceMs: number;
+  readonly listener: OwnershipListener;
+}
+
+/** Watches the owner's lease, takes it when it has lapsed, renews it and hands it over. */
+export class Ownership {
+  readonly #options: OwnershipOptions;
+  #term: Term | undefined;
+  #lease: LeaseRow | undefined;
+  #leaseVersion = 0;
+  /** Position in the feed; undefined before the first read. */
+  #feedVersion: number | undefined;
+  /** Steady instant since which the lease row is known to be unchanged. */
+  #unchangedSince = 0;
+  #isFailing = false;
+  #isStopped = false;
+  /** Steady instant at which the last renewal that succeeded was sent. */
+  #confirmedAt = 0;
+  /** Epoch of this process's last term; a term that was given up is not taken up again. */
+  #lastEpoch = 0;
+
+  constructor(options: OwnershipOptions) {
+    this.#options = options;
+  }
+
+  /** The lease as last seen. */
+  get lease(): LeaseRow | undefined {
+    return this.#lease;
+  }
+
+  get term(): Term | undefined {
+    return this.#term;
+  }
+
+  /** Tells whether no other node can have taken over yet, as far as this node's clock says. */
+  get isCertain(): boolean {
+    return this.#term !== undefined && performance.now() - this.#confirmedAt < LEASE_MS;
+  }
+
+  /** Watches or renews until it is stopped. */
+  async run(): Promise<void> {
+    while (!this.#isStopped) {
+      if (this.#term === undefined) await this.#watch();
+      else await this.#renew(this.#term);
+    }
+  }
+
+  /** Gives the term up: another owner was seen. */
+  drop(reason: string): void {
+    if (this.#term === undefined) return;
+    this.#term = undefined;
+    this.#feedVersion = undefined;
+    this.#options.listener.handleLost(reason);
+  }
+
+  /** Stops contending and, as the owner, hands over. */
+  async release(successor: string | undefined): Promise<void> {
+    this.#isStopped = true;
+    const term = this.#term;
+    if (term === undefined) return;
+    this.drop('released');
+    const lease = { ...this.#buildLease(term.epoch), isReleased: true, successor };
+    const result = await this.#putLease(term, lease);
+    this.#options.logger.writeInfo('ownership released', {
+      epoch: term.epoch,
+      successor: successor ?? '',
+      outcome: result.isOk() ? 'written' : result.error.message,
+    });
+  }
+
+  async #watch(): Promise<void> {
+    const found = this.#feedVersion === undefined ? await this.#read() : await this.#poll();
+    if (!found) {
+      await sleep(RETRY_MS);
+      return;
+    }
+    if (this.#isStopped || this.#term !== undefined) return;
+    if (this.#isOwn()) this.#begin(this.#leaseVersion);
+    else if (this.#computeWait() <= 0) await this.#takeOver();
+  }
+
+  async #read(): Promise<boolean> {
+    const { table, part } = LEASE_ROW;
+    const page = await this.#options.store.read({ table, part });
+    if (page.isErr()) return this.#fail(page.error);
+    this.#recover();
+    this.#feedVersion = page.value.version;
+    const [row] = page.value.rows;
+    if (row === undefined) this.#observe(undefined, 0);
+    else if (row.version !== this.#leaseVersion) this.#observe(row.value, row.version);
+    return true;
+  }
+
+  async #poll(): Promise<boolean> {
+    const waitMs = Math.min(POLL_MS, Math.max(MINIMUM_POLL_MS, this.#computeWait()));
+    const { table } = LEASE_ROW;
+    const after = this.#feedVersion ?? 0;
+    const page = await this.#options.store.poll({ table, after, waitMs });
+    if (page.isErr()) {
+      if (page.error.kind === StoreFaultKind.HistoryGone) this.#feedVersion = undefined;
+      return this.#fail(page.error);
+    }
+    this.#recover();
+    this.#feedVersion = Math.max(after, page.value.version);
+    const row = page.value.rows.at(-1);
+    if (row !== undefined) this.#observe(row.isDeleted ? undefined : row.value, row.version);
+    return true;
+  }
+
+  #observe(value: string | undefined, version: number): void {
+    const previous = this.#lease;
+    this.#lease = value === undefined ? undefined : decodeLease(value);
+    this.#leaseVersion = version;
+    this.#unchangedSince = performance.now();
+    if (previous?.incarnation === this.#lease?.incarnation) return;
+    this.#options.logger.writeInfo('owner seen', {
+      owner: this.#lease?.node ?? '',
+      epoch: this.#lease?.epoch ?? 0,
+      version,
+    });
+  }
+
+  /** An owner that could not reach the store either gets a whole lease to renew after an outage. */
+  #recover(): void {
+    if (!this.#isFailing) return;
+    this.#isFailing = false;
+    this.#unchangedSince = performance.now();
+  }
+
+  #fail(fault: StoreFault): boolean {
+    if (fault.kind !== StoreFaultKind.HistoryGone) this.#isFailing = true;
+    return false;
+  }
+
+  /** A take-over without an answer may have been carried out: the row then names this process. */
+  #isOwn(): boolean {
+    const lease = this.#lease;
+    if (lease?.incarnation !== this.#options.incarnation) return false;
+    return !lease.isReleased && lease.epoch > this.#lastEpoch;
+  }
+
+  /** Milliseconds until this node may take over. */
+  #computeWait(): number {
+    const unchangedMs = performance.now() - this.#unchangedSince;
+    const { node, patienceMs } = this.#options;
+    if (this.#lease === undefined) return patienceMs - unchangedMs;
+    if (!this.#lease.isReleased) return LEASE_MS + patienceMs - unchangedMs;
+    const { successor } = this.#lease;
+    if (successor === node) return 0;
+    return (successor === undefined ? 0 : SUCCESSOR_HEAD_START_MS) + patienceMs - unchangedMs;
+  }
+
+  async #takeOver(): Promise<void> {
+    const epoch = (this.#lease?.epoch ?? 0) + 1;
+    const value = encodeLease(this.#buildLease(epoch));
+    const sentAt = performance.now();
+    const result = await this.#options.store.commit({
+      conditions: [{ ...LEASE_ROW, version: this.#leaseVersion }],
+      puts: [
+        { ...LEASE_ROW, value },
+        { ...FENCE_ROW, value: String(epoch) },
+      ],
+      removals: [],
+    });
+    if (result.isErr()) {
+      // Whatever became of the write, the row says who owns: read it again.
+      this.#feedVersion = undefined;
+      this.#options.logger.writeInfo('take-over not confirmed', {
+        epoch,
+        reason: result.error.message,
+      });
+      if (result.error.kind !== StoreFaultKind.Conflict) await sleep(RETRY_MS);
+      return;
+    }
+    this.#confirmedAt = sentAt;
+    this.#begin(result.value);
+  }
+
+  #begin(version: number): void {
+    const predecessor = this.#isOwn() ? undefined : this.#lease;
+    const epoch = this.#isOwn() ? (this.#lease?.epoch ?? 1) : (this.#lease?.epoch ?? 0) + 1;
+    this.#leaseVersion = version;
+    this.#lease = this.#buildLease(epoch);
+    this.#feedVersion = undefined;
+    this.#lastEpoch = epoch;
+    this.#term = { epoch, token: version, fenceVersion: version, predecessor };
+    this.#options.logger.writeInfo('ownership taken', {
+      epoch,
+      token: version,
+      predecessor: predecessor?.node ?? '',
+    });
+    this.#options.listener.handleTaken(this.#term);
+  }
+
+  async #renew(term: Term): Promise<void> {
+    await sleep(RENEWAL_MS);
+    if (this.#term !== term) return;
+    const sentAt = performance.now();
+    const result = await this.#putLease(term, this.#buildLease(term.epoch));
+    if (this.#term !== term) return;
+    if (result.isOk()) {
+      this.#leaseVersion = result.value;
+      this.#confirmedAt = sentAt;
+      if (this.#isFailing) this.#options.logger.writeInfo('lease renewed again');
+      this.#isFailing = false;
+      return;
+    }
+    if (result.error.kind === StoreFaultKind.Conflict) {
+      this.#resolveConflict(term, result.error.rows);
+      return;
+    }
+    if (!this.#isFailing) {
+      this.#options.logger.writeWarning('lease not renewed', { reason: result.error.message });
+    }
+    this.#isFailing = true;
+  }
+
+  /** A conflict is either a take-over or an earlier renewal of our own that arrived late. */
+  #resolveConflict(term: Term, rows: readonly Row[]): void {
+    const fence = rows.find((row) => row.table === FENCE_ROW.table);
+    const lease = rows.find((row) => row.table === LEASE_ROW.table);
+    if (fence?.version === term.fenceVersion && lease !== undefined) {
+      this.#leaseVersion = lease.version;
+      return;
+    }
+    this.drop('another node took over');
+  }
+
+  #putLease(term: Term, lease: LeaseRow): ReturnType<Store['commit']> {
+    return this.#options.store.commit({
+      conditions: [
+        { ...FENCE_ROW, version: term.fenceVersion },
+        { ...LEASE_ROW, version: this.#leaseVersion },
+      ],
+      puts: [{ ...LEASE_ROW, value: encodeLease(lease) }],
+      removals: [],
+    });
+  }
+
+  #buildLease(epoch: number): LeaseRow {
+    const { node, incarnation, address, listener } = this.#options;
+    const targets = listener.listTargets();
+    return { node, incarnation, address, epoch, isReleased: false, successor: undefined, targets };
+  }
+}
--- /dev/null
+++ b/packages/ownership/src/rows.ts
@@ -0,0 +1,39 @@
+import type { RowKey } from '@currantgap/store';
+
+/** Part in which the owner's rows, and all that it writes under its fence, lie. */
+export const OWNER_PART = 'fleet';
+/** Row that the owner renews; contenders watch it. */
+export const LEASE_ROW: RowKey = { table: 'owner-lease', part: OWNER_PART, key: 'lease' };
+/** Row that changes only at a take-over; every write of the owner has its version as a condition. */
+export const FENCE_ROW: RowKey = { table: 'owner-fence', part: OWNER_PART, key: 'fence' };
+
+/** What the lease row says. */
+export interface LeaseRow {
+  readonly node: string;
+  /** One lifetime of a process. */
+  readonly incarnation: string;
+  /** `host:port` of the owner's peer listener. */
+  readonly address: string;
+  /** Number of take-overs so far. */
+  readonly epoch: number;
+  /** The owner has handed over; a contender may take over at once. */
+  readonly isReleased: boolean;
+  /** Node that should take over first after a release. */
+  readonly successor: string | undefined;
+  /** Targets on which this owner may hold leases. */
+  readonly targets: readonly string[];
+}
+
+/** Encodes a lease row. */
+export function encodeLease(row: LeaseRow): string {
+  return JSON.stringify(row);
+}
+
+/** Decodes a lease row; undefined where it is none. */
+export function decodeLease(value: string): LeaseRow | undefined {
+  try {
+    return JSON.parse(value) as LeaseRow;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,7 @@
+export * from './durations.ts';
+export * from './health.ts';
+export * from './order.ts';
+export * from './pacing.ts';
+export * from './placement.ts';
+export * from './resources.ts';
+export * from './weights.ts';
--- /dev/null
+++ b/packages/store/src/index.ts
@@ -0,0 +1,2 @@
+export * from './follower.ts';
+export * from './store.ts';
--- a/tools/build.js
+++ b/tools/build.js
@@ -5,9 +5,10 @@
 
 const root = fileURLToPath(new URL('..', import.meta.url));
 const dist = `${root}dist`;
-const bundle = `${dist}/currantgap.cjs`;
+const target = process.argv.find((word) => word.startsWith('--bundle='))?.slice('--bundle='.length);
+const bundle = target ?? `${dist}/currantgap.cjs`;
 const binary = `${dist}/currantgap`;
-const isBundleOnly = process.argv.includes('--bundle-only');
+const isBundleOnly = target !== undefined || process.argv.includes('--bundle-only');
 
 mkdirSync(dist, { recursive: true });
 await build({
