--- a/packages/node/src/peer.ts
+++ b/packages/node/src/peer.ts
@@ -42,7 +42,7 @@
     const answer = (await this.#ask(`${JOB_PATH}${id}`)) as { state?: string } | undefined;
     if (answer === undefined) return OwnerAnswer.Unreachable;
     const { state } = answer;
-    return STATES.find((known) => String(known) === state) ?? OwnerAnswer.Unknown;
+    return STATES.find((known: string) => known === state) ?? OwnerAnswer.Unknown;
   }
 
   async countWaiting(route: string): Promise<number | undefined> {
