feat(fleet): maintenance waves, pools that grow with their queue and shrink after it

Built: VM keeper (empties a VM within disruption budgets, then orders), wave keeper, pool sizer from running, waiting and arriving work.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -7,6 +7,7 @@
 import type { JobBook, JobRecord } from './job-book.ts';
 import type { Ledger } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
+import type { PoolArrivals } from './pool-arrivals.ts';
 import type { TargetPort } from './ports.ts';
 import type { Settling } from './settling.ts';
 
@@ -35,6 +36,8 @@
   readonly jobs: JobBook;
   /** Jobs that have not ended, by id. */
   readonly active: Map<string, JobRecord>;
+  /** Rate of work that comes for each pool. */
+  readonly arrivals: PoolArrivals;
   readonly ledger: Ledger;
   readonly durations: DurationModel;
   readonly settling: Settling;
--- /dev/null
+++ b/packages/execution/src/intake.ts
@@ -0,0 +1,79 @@
+import type { Job } from '@currantgap/jobs';
+import { WeightMeter } from '@currantgap/scheduling';
+import type { Row } from '@currantgap/store';
+import { getWallNow, type OwnerContext } from './context.ts';
+import type { JobRecord } from './job-book.ts';
+import type { Orders } from './orders.ts';
+import type { Reports } from './reports.ts';
+
+/** Takes up what fronts have stored: accepted submissions and cancels. */
+export class Intake {
+  readonly #context: OwnerContext;
+  readonly #orders: Orders;
+  readonly #reports: Reports;
+  readonly #weights = new WeightMeter();
+
+  constructor(context: OwnerContext, orders: Orders, reports: Reports) {
+    this.#context = context;
+    this.#orders = orders;
+    this.#reports = reports;
+  }
+
+  /** Applies rows; `isInherited` marks those that lay there when the term began. */
+  apply(rows: readonly Row[], isInherited: boolean): void {
+    for (const row of rows) this.#applyRow(row, isInherited);
+  }
+
+  /** Finds the routes of all active jobs anew; a removed route goes on to apply to its jobs. */
+  refreshRoutes(): void {
+    const { active, getOperatorView } = this.#context;
+    const { configuration } = getOperatorView();
+    if (configuration === undefined) return;
+    const routes = new Map(configuration.routes.map((route) => [route.name, route]));
+    for (const record of active.values()) {
+      record.route = routes.get(record.job.stored.route) ?? record.route;
+    }
+  }
+
+  #applyRow(row: Row, isInherited: boolean): void {
+    const { active, arrivals, clock, jobs, logger } = this.#context;
+    const change = jobs.applyRow(row);
+    if (change === undefined) return;
+    const { job } = change;
+    logger.writeInfo(`job ${change.kind}`, {
+      request: job.id,
+      route: job.stored.route,
+      team: job.stored.team,
+      state: job.state,
+      version: row.version,
+    });
+    if (change.kind === 'cancelled') this.#cancel(job);
+    else if (!job.isEnded) {
+      const record = this.#buildRecord(job, isInherited);
+      active.set(job.id, record);
+      if (!isInherited && record.route !== undefined) {
+        arrivals.record(record.route.service, job, clock.now);
+      }
+    }
+  }
+
+  #cancel(job: Job): void {
+    for (const assignment of job.listAttempts()) this.#orders.stop(assignment, 'cancelled');
+    this.#reports.keep(job.id);
+  }
+
+  #buildRecord(job: Job, isInherited: boolean): JobRecord {
+    const { clock, getOperatorView } = this.#context;
+    const { team, acceptedAt, route } = job.stored;
+    const { configuration } = getOperatorView();
+    const weight = configuration?.teams.find(({ name }) => name === team)?.weight;
+    const age = isInherited ? Math.max(0, getWallNow() - acceptedAt) : 0;
+    return {
+      job,
+      arrivedAt: clock.now - age,
+      isInherited,
+      isWithinWeight: weight === undefined || this.#weights.record(team, weight, acceptedAt),
+      route: configuration?.routes.find(({ name }) => name === route),
+    };
+  }
+}
--- a/packages/execution/src/messages.ts
+++ b/packages/execution/src/messages.ts
@@ -6,7 +6,6 @@
 
 /** What reaches the owner's task. */
 export type OwnerMessage =
-  | { readonly kind: 'ledger-read'; readonly rows: readonly Row[] }
   | { readonly kind: 'intake'; readonly rows: readonly Row[]; readonly isWhole: boolean }
   | { readonly kind: 'registry'; readonly rows: readonly Row[]; readonly isWhole: boolean }
   | { readonly kind: 'configured' }
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,23 +1,28 @@
-import { AttemptPhase, type Job } from '@currantgap/jobs';
+import { AttemptPhase } from '@currantgap/jobs';
 import { JobState, type TargetEntry } from '@currantgap/model';
 import { OWNER_PART, type Term } from '@currantgap/ownership';
-import { DurationModel, WeightMeter } from '@currantgap/scheduling';
+import { DurationModel } from '@currantgap/scheduling';
 import { Follower, readAll, type Row, type Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { getWallNow, type OwnerBounds, type OwnerContext } from './context.ts';
+import type { OwnerBounds, OwnerContext } from './context.ts';
 import { Fleet } from './fleet.ts';
 import { Holds } from './holds.ts';
+import { Intake } from './intake.ts';
 import { INTAKE_PART, INTAKE_TABLE, JobBook, type JobRecord } from './job-book.ts';
 import { Ledger, LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import { getLeaseMs, Orders } from './orders.ts';
 import { Planner } from './planner.ts';
-import { HoldFault, type TargetPort } from './ports.ts';
+import { PoolArrivals } from './pool-arrivals.ts';
+import { HoldFault, type TargetPort, type VmPort } from './ports.ts';
 import { Reports } from './reports.ts';
+import { reportLoad } from './pool-load.ts';
 import { Settling } from './settling.ts';
 import { CLOCK_RATE, type TargetRecord } from './target-record.ts';
+import { VmWork } from './vm-work.ts';
+import { WAVE_TABLE, type EncodeWaveStatus } from './wave-keeper.ts';
 
 /** Milliseconds between rounds over all targets and jobs. */
 const TICK_MS = 100;
@@ -29,6 +34,8 @@
 const REGISTRY_PAUSE_MS = 150;
 /** Milliseconds before a read that failed at the start of a term is tried again. */
 const READ_RETRY_MS = 150;
+/** Milliseconds between log lines on the load of each pool. */
+const LOAD_PERIOD_MS = 2_000;
 /** Milliseconds beyond a computed lapse before a run counts as gone. */
 const LAPSE_MARGIN_MS = 100;
 
@@ -48,6 +55,11 @@
   readonly targetPort: TargetPort;
   readonly registry: Registry;
   readonly getOperatorView: () => OperatorView;
+  /** Undefined where the deployment has no VM service. */
+  readonly vmPort: VmPort | undefined;
+  /** Tells whether no other node can have taken over yet. */
+  readonly isCertain: () => boolean;
+  readonly encodeWaveStatus: EncodeWaveStatus;
   /** Told once when another node has taken over. */
   readonly onDeposed: (reason: string) => void;
 }
@@ -60,9 +72,11 @@
   readonly #reports: Reports;
   readonly #holds: Holds;
   readonly #planner: Planner;
-  readonly #weights = new WeightMeter();
+  readonly #vmWork: VmWork | undefined;
+  readonly #intake: Intake;
   readonly #followers: Follower[] = [];
   #ticker: NodeJS.Timeout | undefined;
+  #loadReportedAt = 0;
   #isPlanDue = false;
   #isLoaded = false;
   #isEnded = false;
@@ -75,12 +89,15 @@
     this.#reports = new Reports(this.#context, this.#orders);
     this.#holds = new Holds(this.#context);
     this.#planner = new Planner(this.#context, this.#orders);
+    this.#intake = new Intake(this.#context, this.#orders, this.#reports);
+    this.#vmWork = this.#buildVmWork();
   }
 
   /** Reads what earlier terms left and begins to decide. */
   async open(): Promise<void> {
     this.start();
-    await this.#loadLedger();
+    this.#context.jobs.loadLedger(await this.#readOwned(LEDGER_TABLE));
+    this.#vmWork?.load(await this.#readOwned(WAVE_TABLE));
     this.#follow(INTAKE_TABLE, INTAKE_PART, INTAKE_PAUSE_MS, 'intake');
     this.#ticker = setInterval(() => {
       this.post({ kind: 'tick' });
@@ -128,9 +145,6 @@
   protected handle(message: OwnerMessage): void {
     if (this.#isEnded) return;
     switch (message.kind) {
-      case 'ledger-read':
-        this.#context.jobs.loadLedger(message.rows);
-        break;
       case 'intake':
         this.#applyIntake(message.rows, message.isWhole);
         break;
@@ -138,7 +152,7 @@
         this.#applyRegistry(message.rows, message.isWhole);
         break;
       case 'configured':
-        this.#refreshRoutes();
+        this.#intake.refreshRoutes();
         break;
       case 'held':
         this.#applyHeld(message);
@@ -194,6 +208,7 @@
       fleet: new Fleet(),
       jobs: new JobBook(logger),
       active: new Map<string, JobRecord>(),
+      arrivals: new PoolArrivals(),
       ledger,
       durations: new DurationModel(),
       settling: new Settling(term, leaseMs, clock.now),
@@ -203,15 +218,27 @@
     };
   }
 
-  async #loadLedger(): Promise<void> {
+  #buildVmWork(): VmWork | undefined {
+    const { vmPort, isCertain, store, encodeWaveStatus } = this.#options;
+    if (vmPort === undefined) return undefined;
+    return new VmWork({
+      context: this.#context,
+      orders: this.#orders,
+      reports: this.#reports,
+      store,
+      port: vmPort,
+      isCertain,
+      encodeWaveStatus,
+    });
+  }
+
+  async #readOwned(table: string): Promise<readonly Row[]> {
     while (!this.#isEnded) {
-      const page = await readAll(this.#options.store, LEDGER_TABLE, OWNER_PART);
-      if (page.isOk()) {
-        this.#context.post({ kind: 'ledger-read', rows: page.value.rows });
-        return;
-      }
+      const page = await readAll(this.#options.store, table, OWNER_PART);
+      if (page.isOk()) return page.value.rows;
       await sleep(READ_RETRY_MS);
     }
+    return [];
   }
 
   #follow(table: string, part: string, pauseMs: number, kind: 'intake' | 'registry'): void {
@@ -230,57 +257,13 @@
 
   #applyIntake(rows: readonly Row[], isWhole: boolean): void {
     const isFirst = isWhole && !this.#isLoaded;
-    for (const row of rows) this.#applyIntakeRow(row, isFirst);
+    this.#intake.apply(rows, isFirst);
     if (!isFirst) return;
     this.#isLoaded = true;
     this.#context.logger.writeInfo('jobs read', { active: this.#context.active.size });
     this.#follow(this.#options.registry.table, '', REGISTRY_PAUSE_MS, 'registry');
   }
 
-  #applyIntakeRow(row: Row, isInherited: boolean): void {
-    const { active, logger } = this.#context;
-    const change = this.#context.jobs.applyRow(row);
-    if (change === undefined) return;
-    const { job } = change;
-    logger.writeInfo(`job ${change.kind}`, {
-      request: job.id,
-      route: job.stored.route,
-      team: job.stored.team,
-      state: job.state,
-      version: row.version,
-    });
-    if (change.kind === 'cancelled') this.#endJob(job, 'cancelled');
-    else if (!job.isEnded) active.set(job.id, this.#buildRecord(job, isInherited));
-  }
-
-  #endJob(job: Job, reason: string): void {
-    for (const assignment of job.listAttempts()) this.#orders.stop(assignment, reason);
-    this.#reports.keep(job.id);
-  }
-
-  #buildRecord(job: Job, isInherited: boolean): JobRecord {
-    const { clock, getOperatorView } = this.#context;
-    const { team, acceptedAt, route } = job.stored;
-    const { configuration } = getOperatorView();
-    const weight = configuration?.teams.find(({ name }) => name === team)?.weight;
-    const age = isInherited ? Math.max(0, getWallNow() - acceptedAt) : 0;
-    return {
-      job,
-      arrivedAt: clock.now - age,
-      isInherited,
-      isWithinWeight: weight === undefined || this.#weights.record(team, weight, acceptedAt),
-      route: configuration?.routes.find(({ name }) => name === route),
-    };
-  }
-
-  #refreshRoutes(): void {
-    const { configuration } = this.#context.getOperatorView();
-    for (const record of this.#context.active.values()) {
-      const { route } = record.job.stored;
-      record.route = configuration?.routes.find(({ name }) => name === route) ?? record.route;
-    }
-  }
-
   #applyRegistry(rows: readonly Row[], isWhole: boolean): void {
     const { fleet, logger, settling } = this.#context;
     if (isWhole) {
@@ -339,7 +322,7 @@
   }
 
   #sweep(): void {
-    const { active, clock, fleet } = this.#context;
+    const { clock, fleet } = this.#context;
     const { now } = clock;
     for (const target of [...fleet.targets]) {
       if (target.assignmentCount > 0 && now > target.lapsesAt + LAPSE_MARGIN_MS) {
@@ -350,10 +333,11 @@
           this.#orders.stop({ task, attempt }, 'repeated');
       }
     }
-    for (const record of active.values()) {
-      if (record.route === undefined) this.#refreshRoutes();
-    }
     this.#holds.sendDue();
+    this.#vmWork?.sweep();
+    if (now < this.#loadReportedAt + LOAD_PERIOD_MS) return;
+    this.#loadReportedAt = now;
+    reportLoad(this.#context);
   }
 
   #schedulePlan(): void {
--- /dev/null
+++ b/packages/execution/src/pool-load.ts
@@ -0,0 +1,87 @@
+import type { Resources } from '@currantgap/model';
+import { getFootprint, ResourceSum } from '@currantgap/scheduling';
+import { getWallNow, type OwnerContext } from './context.ts';
+
+/** Capacity of a pool, what is reserved of it and what waits for it. */
+export interface PoolLoad {
+  readonly service: string;
+  targets: number;
+  readonly capacity: ResourceSum;
+  readonly used: ResourceSum;
+  /** Part of `used` that persistent tasks take. */
+  readonly persistent: ResourceSum;
+  readonly waiting: ResourceSum;
+  waitingTasks: number;
+}
+
+/** Computes the load of each pool. */
+export function computePoolLoads(context: OwnerContext): Map<string, PoolLoad> {
+  const loads = new Map<string, PoolLoad>();
+  const open = (service: string): PoolLoad => {
+    const known = loads.get(service);
+    if (known !== undefined) return known;
+    const created = createLoad(service);
+    loads.set(service, created);
+    return created;
+  };
+  for (const target of context.fleet.targets) {
+    if (!target.isRegistered) continue;
+    const load = open(target.entry.service);
+    load.targets += 1;
+    load.capacity.add(target.capacity);
+    load.used.add(target.used);
+    for (const { task } of target.assignments) {
+      const step = task.step.definition;
+      if (step.isPersistent) load.persistent.add(getFootprint(step));
+    }
+  }
+  addWaiting(context, open);
+  return loads;
+}
+
+function addWaiting(context: OwnerContext, open: (service: string) => PoolLoad): void {
+  const wallNow = getWallNow();
+  for (const { job, route } of context.active.values()) {
+    if (route === undefined) continue;
+    const load = open(route.service);
+    for (const step of job.listOpenSteps(wallNow)) {
+      const footprint = getFootprint(step.definition);
+      for (const task of step.tasks) {
+        if (task.isDone || task.isActive) continue;
+        load.waiting.add(footprint);
+        load.waitingTasks += 1;
+      }
+    }
+  }
+}
+
+/** Writes one line a pool. */
+export function reportLoad(context: OwnerContext): void {
+  for (const load of computePoolLoads(context).values()) {
+    context.logger.writeInfo('pool load', {
+      service: load.service,
+      targets: load.targets,
+      capacity: formatResources(load.capacity),
+      used: formatResources(load.used),
+      persistent: formatResources(load.persistent),
+      waiting: formatResources(load.waiting),
+      waitingTasks: load.waitingTasks,
+    });
+  }
+}
+
+function formatResources({ cpuMillis, memoryMb }: Resources): string {
+  return `${Math.round(cpuMillis / 1_000)} cores, ${Math.round(memoryMb / 1_024)} GB`;
+}
+
+function createLoad(service: string): PoolLoad {
+  return {
+    service,
+    targets: 0,
+    capacity: new ResourceSum(),
+    used: new ResourceSum(),
+    persistent: new ResourceSum(),
+    waiting: new ResourceSum(),
+    waitingTasks: 0,
+  };
+}
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -81,6 +81,13 @@
     return this.#assignments.values();
   }
 
+  get hasPersistent(): boolean {
+    for (const { task } of this.#assignments.values()) {
+      if (task.step.definition.isPersistent) return true;
+    }
+    return false;
+  }
+
   get assignmentCount(): number {
     return this.#assignments.size;
   }
--- /dev/null
+++ b/packages/execution/src/vm-work.ts
@@ -0,0 +1,61 @@
+import type { Row, Store } from '@currantgap/store';
+import type { OwnerContext } from './context.ts';
+import type { Orders } from './orders.ts';
+import { PoolSizer } from './pool-sizer.ts';
+import type { VmPort } from './ports.ts';
+import type { Reports } from './reports.ts';
+import { VmKeeper } from './vm-keeper.ts';
+import { VmOrders } from './vm-orders.ts';
+import { WaveKeeper, type EncodeWaveStatus } from './wave-keeper.ts';
+
+/** Options of the work on VMs. */
+export interface VmWorkOptions {
+  readonly context: OwnerContext;
+  readonly orders: Orders;
+  readonly reports: Reports;
+  readonly store: Store;
+  readonly port: VmPort;
+  /** Tells whether no other node can have taken over yet. */
+  readonly isCertain: () => boolean;
+  readonly encodeWaveStatus: EncodeWaveStatus;
+}
+
+/** All that the owner does with VMs: maintenance waves first, then the sizes of pools. */
+export class VmWork {
+  readonly #keeper: VmKeeper;
+  readonly #sizer: PoolSizer;
+  readonly #waves: WaveKeeper;
+
+  constructor(options: VmWorkOptions) {
+    const { context, orders, reports, store, port, isCertain, encodeWaveStatus } = options;
+    this.#keeper = new VmKeeper({
+      context,
+      orders,
+      reports,
+      port,
+      vmOrders: new VmOrders(context, port, isCertain),
+      onMaintained: (vm, wave) => {
+        this.#waves.record(vm, wave);
+      },
+    });
+    this.#waves = new WaveKeeper({
+      context,
+      keeper: this.#keeper,
+      store,
+      encodeStatus: encodeWaveStatus,
+    });
+    this.#sizer = new PoolSizer(context, this.#keeper);
+  }
+
+  /** Loads what earlier terms have done of each wave. */
+  load(rows: readonly Row[]): void {
+    this.#waves.load(rows);
+  }
+
+  /** Moves all plans on and makes new ones. */
+  sweep(): void {
+    this.#keeper.sweep();
+    this.#waves.sweep();
+    this.#sizer.sweep();
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,3 @@
+export * from './disruption.ts';
+export * from './maintenance.ts';
+export * from './sizing.ts';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -5,9 +5,12 @@
 import {
   decodeSubmission,
   decodeTargetEntry,
+  encodeWaveStatus,
   HttpCaller,
   HttpStore,
   HttpTargets,
+  HttpVms,
+  STATUS_TABLE,
   TARGET_TABLE,
   type NodeSettings,
 } from '@currantgap/platform-adapter';
@@ -21,6 +24,10 @@
 import { handlePeerCall, PeerOwner } from './peer.ts';
 import type { SettingsFile } from './settings-file.ts';
 
+/** Connections to the store: four feeds, and calls side by side. */
+const STORE_CONNECTIONS = 48;
+/** Connections to one target: its hold, and few orders side by side, since new ones are paid for. */
+const TARGET_CONNECTIONS = 5;
 const DEADLINE_HEADER = 'x-deadline-ms';
 /** Most milliseconds that a contender waits beyond a lapsed lease, so that few collide. */
 const MAXIMUM_PATIENCE_MS = 250;
@@ -39,7 +46,8 @@
   readonly #settings: SettingsFile;
   readonly #logger: Logger;
   readonly #metrics = new NodeMetrics();
-  readonly #caller = new HttpCaller();
+  readonly #caller = new HttpCaller(STORE_CONNECTIONS);
+  readonly #targetCaller = new HttpCaller(TARGET_CONNECTIONS);
   readonly #store: HttpStore;
   readonly #operators: OperatorFollower;
   readonly #front: Front;
@@ -114,6 +122,7 @@
       server.closeAllConnections();
     }
     this.#caller.close();
+    this.#targetCaller.close();
   }
 
   override handleTaken(term: Term): void {
@@ -126,9 +135,15 @@
       store: this.#store,
       clock: new SystemClock(),
       logger: this.#logger,
-      targetPort: new HttpTargets(this.#caller),
+      targetPort: new HttpTargets(this.#targetCaller),
       registry: { table: TARGET_TABLE, decode: decodeTargetEntry },
       getOperatorView: () => this.#operators.view,
+      vmPort: this.#createVmPort(),
+      isCertain: () => this.#ownership.isCertain,
+      encodeWaveStatus: (wave, isComplete) => ({
+        table: STATUS_TABLE,
+        ...encodeWaveStatus(wave, isComplete),
+      }),
       onDeposed: (reason) => {
         this.#ownership.drop(reason);
       },
@@ -149,6 +164,12 @@
     return this.#owner?.listLeasedTargets() ?? [];
   }
 
+  #createVmPort(): HttpVms | undefined {
+    const { vmServiceAddress, node } = this.#settings.current;
+    if (vmServiceAddress === undefined) return undefined;
+    return new HttpVms({ address: vmServiceAddress, caller: this.#caller, holder: node });
+  }
+
   #isReady(): boolean {
     if (this.#isStopping || this.#operators.routes === undefined) return false;
     return this.#front.isStoreReachable;
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,3 +5,4 @@
 export * from './placement.ts';
 export * from './resources.ts';
 export * from './weights.ts';
+export * from './arrivals.ts';
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -9,6 +9,8 @@
   readonly capacity: Resources;
   /** What is reserved there, by this plan too. */
   readonly used: Resources;
+  /** It hosts persistent tasks. */
+  readonly hasPersistent: boolean;
   /** Elapsed against expected time of what ended there; 1 is sound. */
   readonly slowness: number;
 }
@@ -30,6 +32,10 @@
 
 /** Weight of a target's load against its expected time: spreads tasks among equals. */
 const LOAD_WEIGHT = 0.5;
+/**
+ * Taken off for a persistent task beside others: fewer VMs then have to stay when a pool shrinks.
+ */
+const PACKING_BONUS = 0.4;
 /** Added for a target where the task has failed: any other goes first. */
 const FAILED_PENALTY = 10;
 
@@ -68,6 +74,7 @@
   if (step.isSameRack && stepRack !== undefined && stepRack !== candidate.rack) {
     cost *= remoteFactor;
   }
+  if (step.isPersistent && candidate.hasPersistent) cost -= PACKING_BONUS;
   if (request.failedOn.has(candidate.id)) cost += FAILED_PENALTY;
   return cost + LOAD_WEIGHT * computeLoad(candidate.capacity, candidate.used);
 }
