--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -6,7 +6,9 @@
 import type { VmKeeper } from './vm-keeper.ts';
 
 /** Milliseconds for which a pool must have too many VMs before one is switched off. */
-const SURPLUS_MS = 1_200;
+const SURPLUS_MS = 2_000;
+/** Share of the waiting work that is added to what the arrivals will fill. */
+const BACKLOG_SHARE = 0.5;
 
 /** A VM that takes part in moves. */
 interface MovableVm {
@@ -80,8 +82,10 @@
     const coming = arrivals.computeLoad(service, clock.now);
     const cpuMillis = load.used.cpuMillis + load.waiting.cpuMillis;
     const memoryMb = load.used.memoryMb + load.waiting.memoryMb;
-    const comingCpu = load.persistent.cpuMillis + coming.cpuMillis;
-    const comingMemory = load.persistent.memoryMb + coming.memoryMb;
+    const comingCpu =
+      load.persistent.cpuMillis + coming.cpuMillis + BACKLOG_SHARE * load.waiting.cpuMillis;
+    const comingMemory =
+      load.persistent.memoryMb + coming.memoryMb + BACKLOG_SHARE * load.waiting.memoryMb;
     const demandVms = Math.max(
       Math.max(cpuMillis, comingCpu) / size.cpuMillis,
       Math.max(memoryMb, comingMemory) / size.memoryMb,
@@ -107,9 +111,10 @@
       const movable = vms.filter((vm) => this.#isMovable(vm)).sort((a, b) => a.tasks - b.tasks);
       for (const vm of movable.slice(0, Math.max(0, surplus))) donors.push({ pool, vm });
     }
+    donors.sort((left, right) => left.vm.tasks - right.vm.tasks);
     const reserve = (members.get(spare) ?? []).filter((vm) => this.#isMovable(vm));
     for (const pool of needs) {
-      const donor = donors.shift()?.vm ?? reserve.shift();
+      const donor = takeDonor(donors, reserve);
       if (donor === undefined) return;
       this.#keeper.plan(donor.vm.name, { kind: 'move', pool });
     }
@@ -126,6 +131,14 @@
   }
 }
 
+/** Takes a VM that is paid for and idle, else one that is off, else one that must be emptied. */
+function takeDonor(donors: { vm: MovableVm }[], reserve: MovableVm[]): MovableVm | undefined {
+  const [first] = donors;
+  const isIdle = first?.vm.tasks === 0;
+  if (first !== undefined && (isIdle || reserve.length === 0)) return donors.shift()?.vm;
+  return reserve.shift();
+}
+
 /** VMs that the persistent steps of a service need so that all of their tasks find a place. */
 function computeSpread(records: Iterable<JobRecord>, service: string): number {
   let spread = 0;
--- /dev/null
+++ b/packages/ownership/test/ownership.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  decodeLease,
+  FENCE_ROW,
+  LEASE_ROW,
+  Ownership,
+  OwnershipListener,
+  type Term,
+} from '@currantgap/ownership';
+import { MemoryStore, StoreTrouble } from '@currantgap/standins';
+import { Logger, setLogSink } from '@currantgap/telemetry';
+
+setLogSink(() => undefined);
+
+class RecordingListener extends OwnershipListener {
+  readonly terms: Term[] = [];
+  readonly losses: string[] = [];
+  targets: string[] = [];
+
+  handleTaken(term: Term): void {
+    this.terms.push(term);
+  }
+
+  handleLost(reason: string): void {
+    this.losses.push(reason);
+  }
+
+  listTargets(): readonly string[] {
+    return this.targets;
+  }
+}
+
+class Contender {
+  readonly listener = new RecordingListener();
+  readonly ownership: Ownership;
+
+  constructor(store: MemoryStore, node: string, patienceMs = 0) {
+    this.ownership = new Ownership({
+      store,
+      logger: new Logger(),
+      node,
+      incarnation: `${node}.1`,
+      address: `${node}:1`,
+      patienceMs,
+      listener: this.listener,
+    });
+    void this.ownership.run();
+  }
+
+  get isOwner(): boolean {
+    return this.ownership.term !== undefined;
+  }
+}
+
+async function waitUntil(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await sleep(5);
+}
+
+describe('the ownership of the fleet', () => {
+  it('is taken by one contender only, with the version of the take-over as its token', async () => {
+    const store = new MemoryStore();
+    const contenders = ['a', 'b', 'c'].map((node) => new Contender(store, node));
+    await waitUntil(() => contenders.some(({ isOwner }) => isOwner));
+    await sleep(50);
+    const owners = contenders.filter(({ isOwner }) => isOwner);
+    assert.equal(owners.length, 1);
+    const [term] = owners[0]?.listener.terms ?? [];
+    assert.equal(term?.token, store.peek(FENCE_ROW)?.version);
+    await Promise.all(contenders.map(({ ownership }) => ownership.release(undefined)));
+  });
+
+  it('goes to another at once when the owner releases it, with a higher token', async () => {
+    const store = new MemoryStore();
+    const first = new Contender(store, 'a');
+    await waitUntil(() => first.isOwner);
+    first.listener.targets = ['t1'];
+    const second = new Contender(store, 'b');
+    await first.ownership.release(undefined);
+    await waitUntil(() => second.isOwner);
+    const [before] = first.listener.terms;
+    const [after] = second.listener.terms;
+    assert.ok((after?.token ?? 0) > (before?.token ?? 0));
+    assert.deepEqual(after?.predecessor?.targets, ['t1']);
+    await second.ownership.release(undefined);
+  });
+
+  it('is lost by the owner whose fence another has changed', async () => {
+    const store = new MemoryStore();
+    const owner = new Contender(store, 'a');
+    await waitUntil(() => owner.isOwner);
+    const value = store.peek(LEASE_ROW)?.value ?? '';
+    const lease = { ...decodeLease(value), node: 'b', incarnation: 'b.1', epoch: 2 };
+    const puts = [
+      { ...LEASE_ROW, value: JSON.stringify(lease) },
+      { ...FENCE_ROW, value: '2' },
+    ];
+    await store.commit({ conditions: [], puts, removals: [] });
+    await waitUntil(() => owner.listener.losses.length > 0);
+    assert.equal(owner.isOwner, false);
+    void owner.ownership.release(undefined);
+  });
+
+  it('is recognised as taken when the answer to the take-over was lost', async () => {
+    const store = new MemoryStore();
+    store.trouble = StoreTrouble.AnswerLost;
+    const contender = new Contender(store, 'a');
+    await waitUntil(() => contender.isOwner);
+    assert.equal(contender.listener.terms.length, 1);
+    assert.equal(contender.listener.terms[0]?.fenceVersion, store.peek(FENCE_ROW)?.version);
+    store.trouble = StoreTrouble.None;
+    await contender.ownership.release(undefined);
+  });
+
+  it('is kept by an owner whose earlier renewal took effect late', async () => {
+    const store = new MemoryStore();
+    const owner = new Contender(store, 'a');
+    await waitUntil(() => owner.isOwner);
+    store.trouble = StoreTrouble.Late;
+    const sent = store.commits;
+    await waitUntil(() => store.commits > sent);
+    store.trouble = StoreTrouble.None;
+    store.applyLate();
+    const renewals = store.commits;
+    await waitUntil(() => store.commits >= renewals + 2);
+    assert.ok(owner.isOwner);
+    assert.deepEqual(owner.listener.losses, []);
+    await owner.ownership.release(undefined);
+  });
+
+  it('is not taken over at once after an outage: the owner gets a lease to renew', async () => {
+    const store = new MemoryStore();
+    const owner = new Contender(store, 'a');
+    await waitUntil(() => owner.isOwner);
+    const other = new Contender(store, 'b');
+    await sleep(50);
+    store.trouble = StoreTrouble.Down;
+    await sleep(2_300);
+    store.trouble = StoreTrouble.None;
+    await sleep(900);
+    assert.ok(owner.isOwner);
+    assert.equal(other.isOwner, false);
+    void other.ownership.release(undefined);
+    await owner.ownership.release(undefined);
+  });
+});
--- a/packages/scheduling/src/arrivals.ts
+++ b/packages/scheduling/src/arrivals.ts
@@ -1,7 +1,15 @@
-/** Milliseconds over which arrivals are counted. */
-const WINDOW_MS = 1_000;
-/** Arrivals in the window below which they are taken for chance. */
-const MINIMUM_ARRIVALS = 4;
+/** A stretch over which arrivals are counted, and how many must lie in it to be no chance. */
+interface Window {
+  readonly lengthMs: number;
+  readonly minimumArrivals: number;
+}
+
+/** The short window sees a rise at once, the long one does not take a lull for the end. */
+const WINDOWS: readonly Window[] = [
+  { lengthMs: 400, minimumArrivals: 3 },
+  { lengthMs: 1_000, minimumArrivals: 4 },
+];
+const LONGEST_MS = 1_000;
 
 /** Work that arrived. */
 interface Arrival {
@@ -33,14 +41,17 @@
 
   /** Computes the load that arrivals at the present rate amount to, by Little's law. */
   computeLoad(now: number): ArrivalLoad {
-    this.#arrivals = this.#arrivals.filter(({ at }) => at > now - WINDOW_MS);
-    if (this.#arrivals.length < MINIMUM_ARRIVALS) return { cpuMillis: 0, memoryMb: 0 };
-    let cpuWork = 0;
-    let memoryWork = 0;
-    for (const arrival of this.#arrivals) {
-      cpuWork += arrival.cpuWork;
-      memoryWork += arrival.memoryWork;
+    this.#arrivals = this.#arrivals.filter(({ at }) => at > now - LONGEST_MS);
+    let cpuMillis = 0;
+    let memoryMb = 0;
+    for (const { lengthMs, minimumArrivals } of WINDOWS) {
+      const recent = this.#arrivals.filter(({ at }) => at > now - lengthMs);
+      if (recent.length < minimumArrivals) continue;
+      const cpuWork = recent.reduce((sum, arrival) => sum + arrival.cpuWork, 0);
+      const memoryWork = recent.reduce((sum, arrival) => sum + arrival.memoryWork, 0);
+      cpuMillis = Math.max(cpuMillis, cpuWork / lengthMs);
+      memoryMb = Math.max(memoryMb, memoryWork / lengthMs);
     }
-    return { cpuMillis: cpuWork / WINDOW_MS, memoryMb: memoryWork / WINDOW_MS };
+    return { cpuMillis, memoryMb };
   }
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,3 +7,4 @@
 export * from './platform-server.ts';
 export * from './target-server.ts';
 export * from './run-log.ts';
+export * from './memory-store.ts';
