fix(ownership): a successor waits for less and knows sooner what ran

Change: a silent target holds up its own pool only, and only the tasks that the lease row names if the predecessor had noticed; the row carries the store's time of expiry and the age of the last VM order; an unanswered start is looked after at once. Ruled out: reading the ledger (30 ms), registration of targets.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -1,6 +1,7 @@
 import type { Attempt, TaskRun } from '@currantgap/jobs';
 import { TargetState, type TargetEntry } from '@currantgap/model';
 import { ResourceSum } from '@currantgap/scheduling';
+import type { LeasedTarget } from '@currantgap/ownership';
 import { TargetRecord, type Assignment } from './target-record.ts';
 
 /** All targets, what is assigned to them and what each team has running. */
@@ -74,11 +75,25 @@
     return created;
   }
 
-  /** Lists the targets on which a lease may still run. */
-  listLeased(now: number): string[] {
-    const ids: string[] = [];
-    for (const target of this.#targets.values()) if (target.lapsesAt > now) ids.push(target.id);
-    return ids;
+  /** Lists the targets on which a lease may still run, with the tasks of those that are silent. */
+  listLeased(now: number): LeasedTarget[] {
+    const leased: LeasedTarget[] = [];
+    for (const target of this.#targets.values()) {
+      if (target.lapsesAt <= now) continue;
+      const { id, entry } = target;
+      if (target.silences === 0) leased.push({ id, service: entry.service });
+      else leased.push({ id, service: entry.service, tasks: listTaskNames(target) });
+    }
+    return leased;
+  }
+
+  /** A renewal was written: targets that it did not call silent may get work again. */
+  openWritten(written: readonly LeasedTarget[]): void {
+    for (const { id, tasks } of written) {
+      const target = this.#targets.get(id);
+      if (target !== undefined && tasks === undefined) target.isSilenceWritten = false;
+      else if (target !== undefined) target.isSilenceWritten = true;
+    }
   }
 
   /** Tells whether a draining target is about to leave. */
@@ -86,3 +101,7 @@
     return target.entry.state === TargetState.Draining;
   }
 }
+
+function listTaskNames(target: TargetRecord): string[] {
+  return [...target.assignments].map(({ task }) => task.name);
+}
--- a/packages/execution/src/holds.ts
+++ b/packages/execution/src/holds.ts
@@ -27,6 +27,12 @@
 
   /** Sends the next hold of one target after a report was applied. */
   continue(target: TargetRecord, generation: number): void {
+    this.recordEnds(target, generation);
+    this.#sendIfDue(target);
+  }
+
+  /** Records which ledger generation must be written before the ends seen so far are noted. */
+  recordEnds(target: TargetRecord, generation: number): void {
     if (target.seenThrough > target.acknowledgedThrough) {
       if (generation <= this.#writtenThrough && !this.#unnoted.has(target.id)) {
         target.acknowledgedThrough = target.seenThrough;
@@ -39,7 +45,6 @@
         });
       }
     }
-    this.#sendIfDue(target);
   }
 
   /** Notes the ends that a written generation covers. */
@@ -65,6 +70,16 @@
     target.holdNotBefore = this.#context.clock.now + SILENCE_PAUSE_MS;
   }
 
+  /** Reads a target's runs at once, beside the hold that waits there. */
+  look(target: TargetRecord): void {
+    const { clock, post, targetPort, term } = this.#context;
+    const sentAt = clock.now;
+    const order = { token: term.token, acknowledgedThrough: 0, deadline: undefined, waitMs: 0 };
+    void targetPort.hold(target.address, order).then((report) => {
+      post({ kind: 'looked', target, sentAt, report });
+    });
+  }
+
   #sendIfDue(target: TargetRecord): void {
     const { clock, fleet, post, targetPort, term } = this.#context;
     const { now } = clock;
@@ -78,16 +93,15 @@
     }
     target.isHolding = true;
     const isKnown = target.hasClock && !target.isLifetimeDoubtful;
-    const acknowledged = isKnown ? target.acknowledgedThrough : 0;
     const order = {
       token: term.token,
-      acknowledgedThrough: acknowledged,
+      acknowledgedThrough: isKnown ? target.acknowledgedThrough : 0,
       // After a restart the target's clock began anew, so an old reading gives no deadline.
       deadline: isKnown ? target.grantLease(getLeaseMs(this.#context.bounds), now) : undefined,
       waitMs: isKnown && unnoted === undefined ? HOLD_WAIT_MS : 0,
     };
     void targetPort.hold(target.address, order).then((report) => {
-      post({ kind: 'held', target, sentAt: now, acknowledged, report });
+      post({ kind: 'held', target, sentAt: now, report });
     });
   }
 }
--- a/packages/execution/src/messages.ts
+++ b/packages/execution/src/messages.ts
@@ -13,7 +13,12 @@
       readonly kind: 'held';
       readonly target: TargetRecord;
       readonly sentAt: number;
-      readonly acknowledged: number;
+      readonly report: Result<TargetReport, HoldFault>;
+    }
+  | {
+      readonly kind: 'looked';
+      readonly target: TargetRecord;
+      readonly sentAt: number;
       readonly report: Result<TargetReport, HoldFault>;
     }
   | {
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,6 +1,6 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import { JobState, type TargetEntry } from '@currantgap/model';
-import { OWNER_PART, type Term } from '@currantgap/ownership';
+import { OWNER_PART, type Term, type TermReport } from '@currantgap/ownership';
 import { DurationModel } from '@currantgap/scheduling';
 import { Follower, readAll, type Row, type Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
@@ -16,11 +16,11 @@
 import { getLeaseMs, Orders } from './orders.ts';
 import { Planner } from './planner.ts';
 import { PoolArrivals } from './pool-arrivals.ts';
-import { HoldFault, type TargetPort, type VmPort } from './ports.ts';
+import { HoldFault, StartOutcome, type TargetPort, type VmPort } from './ports.ts';
 import { Reports } from './reports.ts';
 import { reportLoad } from './pool-load.ts';
 import { Settling } from './settling.ts';
-import { CLOCK_RATE, type TargetRecord } from './target-record.ts';
+import { CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 import { VmWork } from './vm-work.ts';
 import { WAVE_TABLE, type EncodeWaveStatus } from './wave-keeper.ts';
 
@@ -57,7 +57,7 @@
   readonly getOperatorView: () => OperatorView;
   /** Undefined where the deployment has no VM service. */
   readonly vmPort: VmPort | undefined;
-  /** Tells whether no other node can have taken over yet. */
+  /** Tells whether this node's lease was renewed just now. */
   readonly isCertain: () => boolean;
   readonly encodeWaveStatus: EncodeWaveStatus;
   /** Told once when another node has taken over. */
@@ -115,12 +115,20 @@
     this.stop();
   }
 
-  /** Targets on which leases may run. */
-  listLeasedTargets(): string[] {
-    return [
-      ...this.#context.fleet.listLeased(this.#context.clock.now),
-      ...this.#context.settling.listAwaited(),
-    ];
+  /** What a successor must know. */
+  describeTerm(): TermReport {
+    const { clock, fleet, settling } = this.#context;
+    const { now } = clock;
+    const leased = new Map(settling.listAwaited(now).map((target) => [target.id, target]));
+    for (const target of fleet.listLeased(now)) {
+      if (!leased.has(target.id)) leased.set(target.id, target);
+    }
+    return { targets: [...leased.values()], vmOrderAgeMs: this.#vmWork?.orderAgeMs };
+  }
+
+  /** A renewal was written. */
+  handleRenewed(report: TermReport): void {
+    this.#context.fleet.openWritten(report.targets);
   }
 
   /** State of a job as callers may see it; undefined where the job is not known here. */
@@ -157,11 +165,16 @@
       case 'held':
         this.#applyHeld(message);
         break;
+      case 'looked':
+        this.#applyLooked(message);
+        break;
       case 'started':
         this.#orders.applyStarted(message.target, message.assignment, message.outcome);
+        if (message.outcome === StartOutcome.Unknown) this.#holds.look(message.target);
         break;
       case 'stopped':
         this.#orders.applyStopped(message.target, message.assignment, message.outcome);
+        if (isUncertain(message.assignment)) this.#holds.look(message.target);
         break;
       case 'written':
         this.#holds.recordWritten(message.generation);
@@ -281,7 +294,7 @@
       }
       const known = fleet.find(entry.id);
       const target = fleet.register(entry, isWhole ? settling.deadline : 0);
-      if (known === undefined && isWhole) settling.expect(entry.id);
+      if (known === undefined && isWhole) settling.expect({ id: entry.id, service: entry.service });
       if (known === undefined) this.#reportTarget(target);
     }
     this.#holds.sendDue();
@@ -298,6 +311,12 @@
     });
   }
 
+  #applyLooked({ target, report, sentAt }: OwnerMessage & { kind: 'looked' }): void {
+    if (report.isErr()) return;
+    const generation = this.#reports.apply(target, report.value, sentAt);
+    this.#holds.recordEnds(target, generation);
+  }
+
   #applyHeld(message: OwnerMessage & { kind: 'held' }): void {
     const { logger, depose } = this.#context;
     const { target, report, sentAt } = message;
@@ -348,3 +367,8 @@
     }, PLAN_GATHER_MS);
   }
 }
+
+/** Tells whether it is still open what became of a start whose run was stopped. */
+function isUncertain({ attempt }: Assignment): boolean {
+  return attempt.phase === AttemptPhase.Uncertain && attempt.stopAnsweredAt !== undefined;
+}
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -53,15 +53,14 @@
   }
 
   #listReadySteps(): Map<string, ReadyStep[]> {
-    const { active, clock, settling } = this.#context;
+    const { active, clock } = this.#context;
     const { now } = clock;
     const wallNow = getWallNow();
-    const isSettled = settling.isSettled(now);
     const byService = new Map<string, ReadyStep[]>();
     for (const record of active.values()) {
-      if (record.route === undefined || (record.isInherited && !isSettled)) continue;
+      if (record.route === undefined) continue;
       for (const step of record.job.listOpenSteps(wallNow)) {
-        const waiting = step.listWaiting(now);
+        const waiting = this.#listWaiting(record, step, now);
         if (waiting.length === 0) continue;
         const ready = this.#describe(record, step, waiting, wallNow);
         const { service } = record.route;
@@ -73,6 +72,15 @@
     return byService;
   }
 
+  /** Lists the tasks that may start: one of an earlier term only when it surely runs nowhere. */
+  #listWaiting(record: JobRecord, step: StepRun, now: number): TaskRun[] {
+    const waiting = step.listWaiting(now);
+    const service = record.route?.service;
+    if (!record.isInherited || service === undefined) return waiting;
+    const { settling } = this.#context;
+    return waiting.filter((task) => settling.isSettled(task.name, service, now));
+  }
+
   #describe(
     record: JobRecord,
     step: StepRun,
--- a/packages/execution/src/reports.ts
+++ b/packages/execution/src/reports.ts
@@ -20,13 +20,18 @@
 
   /** Applies a report; returns the ledger generation that must be written before its ends are noted. */
   apply(target: TargetRecord, report: TargetReport, sentAt: number): number {
-    const { clock, settling } = this.#context;
+    const { clock, logger, settling } = this.#context;
     const { now } = clock;
     target.silences = 0;
     this.#checkLifetime(target, report);
     target.readClock(report.clockMs, now);
     target.reportedAt = now;
-    settling.record(target.id);
+    if (settling.record(target.id)) {
+      logger.writeInfo('target settled', {
+        target: target.id,
+        awaited: settling.listAwaited(now).length,
+      });
+    }
     let generation = 0;
     for (const ended of report.ended) {
       if (ended.sequence <= target.seenThrough) continue;
--- a/packages/execution/src/settling.ts
+++ b/packages/execution/src/settling.ts
@@ -1,19 +1,20 @@
-import type { Term } from '@currantgap/ownership';
+import type { LeasedTarget, Term } from '@currantgap/ownership';
 
 /** Milliseconds in which a predecessor that still runs learns from some target that it is deposed. */
 const DEPOSED_NOTICE_MS = 1_200;
 
 /**
  * Says when work of an earlier term may start again. What a predecessor started is known once
- * every target on which it may hold leases has reported under the new token; a target that stays
- * silent is waited for until no lease from before can still run.
+ * every target on which it may hold leases has reported under the new token. A target that stays
+ * silent is waited for until no lease from before can still run; it holds up only its own pool,
+ * and where the predecessor had noticed the silence, only the tasks that it had there.
  */
 export class Settling {
-  readonly #awaited: Set<string>;
+  readonly #awaited = new Map<string, LeasedTarget>();
   readonly #deadline: number;
 
   constructor(term: Term, leaseMs: number, now: number) {
-    this.#awaited = new Set(term.predecessor?.targets ?? []);
+    for (const target of term.predecessor?.targets ?? []) this.#awaited.set(target.id, target);
     this.#deadline = now + leaseMs + DEPOSED_NOTICE_MS;
   }
 
@@ -23,20 +24,27 @@
   }
 
   /** Waits also for a target that was registered when the term began. */
-  expect(targetId: string): void {
-    this.#awaited.add(targetId);
+  expect(target: LeasedTarget): void {
+    if (!this.#awaited.has(target.id)) this.#awaited.set(target.id, target);
   }
 
-  /** Records that a target has reported under the new token, or that its lifetime is over. */
-  record(targetId: string): void {
-    this.#awaited.delete(targetId);
+  /** Records that a target has reported under the new token; tells whether it was waited for. */
+  record(targetId: string): boolean {
+    return this.#awaited.delete(targetId);
   }
 
-  isSettled(now: number): boolean {
-    return this.#awaited.size === 0 || now >= this.#deadline;
+  /** Tells whether a task of an earlier term may start, if it was seen nowhere. */
+  isSettled(taskName: string, service: string, now: number): boolean {
+    if (now >= this.#deadline) return true;
+    for (const target of this.#awaited.values()) {
+      if (target.service !== service) continue;
+      if (target.tasks === undefined || target.tasks.includes(taskName)) return false;
+    }
+    return true;
   }
 
-  listAwaited(): string[] {
-    return [...this.#awaited];
+  /** Lists the targets that have not reported yet; none once their leases cannot run any more. */
+  listAwaited(now: number): readonly LeasedTarget[] {
+    return now >= this.#deadline ? [] : [...this.#awaited.values()];
   }
 }
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -32,6 +32,8 @@
   holdNotBefore = 0;
   /** Calls without an answer since the last report. */
   silences = 0;
+  /** The lease row calls it silent, so a successor would not look for new tasks there. */
+  isSilenceWritten = false;
   /** Gets no new work before this instant. */
   blockedUntil = 0;
   /** It is being emptied for maintenance or a move. */
@@ -105,6 +107,7 @@
       this.entry.state === TargetState.Ready &&
       !this.isClosing &&
       this.silences === 0 &&
+      !this.isSilenceWritten &&
       now >= this.blockedUntil &&
       !this.health.isSuspect(now)
     );
--- a/packages/execution/src/vm-orders.ts
+++ b/packages/execution/src/vm-orders.ts
@@ -1,3 +1,4 @@
+import { FRESH_MS, type Term } from '@currantgap/ownership';
 import type { OwnerContext } from './context.ts';
 import { VmOrderOutcome, type VmOrder, type VmPort } from './ports.ts';
 
@@ -27,7 +28,7 @@
 }
 
 /** Milliseconds beyond the protocol's least time between orders of two holders. */
-const HOLDER_MARGIN_MS = 500;
+const HOLDER_MARGIN_MS = 250;
 
 /** Sends orders for VMs, if this node is certainly the only one to do so. */
 export class VmOrders {
@@ -35,14 +36,21 @@
   readonly #port: VmPort;
   readonly #isCertain: () => boolean;
   readonly #openFrom: number;
+  #orderedAt: number | undefined;
 
   constructor(context: OwnerContext, port: VmPort, isCertain: () => boolean) {
     this.#context = context;
     this.#port = port;
     this.#isCertain = isCertain;
-    const isFirst = context.term.predecessor === undefined;
+    const age = computeOrderAge(context.term);
     const pause = context.bounds.holderChangeMs + HOLDER_MARGIN_MS;
-    this.#openFrom = isFirst ? 0 : context.clock.now + pause;
+    this.#openFrom = context.clock.now + pause - age;
+  }
+
+  /** Milliseconds since the last order; undefined without one. */
+  get orderAgeMs(): number | undefined {
+    const { clock } = this.#context;
+    return this.#orderedAt === undefined ? undefined : Math.round(clock.now - this.#orderedAt);
   }
 
   /** Tells whether orders may be sent now. */
@@ -55,6 +63,7 @@
     const { logger, term } = this.#context;
     if (!this.isOpen) return VmOrderOutcome.Refused;
     const { vm, plan } = intent;
+    this.#orderedAt = this.#context.clock.now;
     const order: VmOrder = { vm, token: term.token };
     const outcome =
       plan.kind === 'move'
@@ -69,3 +78,12 @@
     return outcome;
   }
 }
+
+/** Least milliseconds since a predecessor's last order for a VM. */
+function computeOrderAge(term: Term): number {
+  const { predecessor, predecessorAgeMs } = term;
+  if (predecessor === undefined) return Infinity;
+  // Orders need a fresh renewal, so the last one came within that time after the row was written.
+  if (!predecessor.isReleased) return predecessorAgeMs - FRESH_MS;
+  return (predecessor.vmOrderAgeMs ?? Infinity) + predecessorAgeMs;
+}
--- a/packages/execution/src/vm-work.ts
+++ b/packages/execution/src/vm-work.ts
@@ -15,25 +15,27 @@
   readonly reports: Reports;
   readonly store: Store;
   readonly port: VmPort;
-  /** Tells whether no other node can have taken over yet. */
+  /** Tells whether this node's lease was renewed just now. */
   readonly isCertain: () => boolean;
   readonly encodeWaveStatus: EncodeWaveStatus;
 }
 
 /** All that the owner does with VMs: maintenance waves first, then the sizes of pools. */
 export class VmWork {
+  readonly #vmOrders: VmOrders;
   readonly #keeper: VmKeeper;
   readonly #sizer: PoolSizer;
   readonly #waves: WaveKeeper;
 
   constructor(options: VmWorkOptions) {
     const { context, orders, reports, store, port, isCertain, encodeWaveStatus } = options;
+    this.#vmOrders = new VmOrders(context, port, isCertain);
     this.#keeper = new VmKeeper({
       context,
       orders,
       reports,
       port,
-      vmOrders: new VmOrders(context, port, isCertain),
+      vmOrders: this.#vmOrders,
       onMaintained: (vm, wave) => {
         this.#waves.record(vm, wave);
       },
@@ -47,6 +49,11 @@
     this.#sizer = new PoolSizer(context, this.#keeper);
   }
 
+  /** Milliseconds since the last order for a VM; undefined without one. */
+  get orderAgeMs(): number | undefined {
+    return this.#vmOrders.orderAgeMs;
+  }
+
   /** Loads what earlier terms have done of each wave. */
   load(rows: readonly Row[]): void {
     this.#waves.load(rows);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,7 @@
 import { Owner } from '@currantgap/execution';
 import { Front } from '@currantgap/ingress';
 import { describeError } from '@currantgap/model';
-import { Ownership, OwnershipListener, type Term } from '@currantgap/ownership';
+import { Ownership, OwnershipListener, type Term, type TermReport } from '@currantgap/ownership';
 import {
   decodeSubmission,
   decodeTargetEntry,
@@ -139,7 +139,7 @@
       registry: { table: TARGET_TABLE, decode: decodeTargetEntry },
       getOperatorView: () => this.#operators.view,
       vmPort: this.#createVmPort(),
-      isCertain: () => this.#ownership.isCertain,
+      isCertain: () => this.#ownership.isFresh,
       encodeWaveStatus: (wave, isComplete) => ({
         table: STATUS_TABLE,
         ...encodeWaveStatus(wave, isComplete),
@@ -160,8 +160,12 @@
     this.#owner = undefined;
   }
 
-  override listTargets(): readonly string[] {
-    return this.#owner?.listLeasedTargets() ?? [];
+  override describeTerm(): TermReport {
+    return this.#owner?.describeTerm() ?? { targets: [], vmOrderAgeMs: undefined };
+  }
+
+  override handleRenewed(report: TermReport): void {
+    this.#owner?.handleRenewed(report);
   }
 
   #createVmPort(): HttpVms | undefined {
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -1,12 +1,23 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Logger } from '@currantgap/telemetry';
 import { StoreFaultKind, type Row, type Store, type StoreFault } from '@currantgap/store';
-import { decodeLease, encodeLease, FENCE_ROW, LEASE_ROW, type LeaseRow } from './rows.ts';
+import {
+  decodeLease,
+  encodeLease,
+  FENCE_ROW,
+  LEASE_ROW,
+  type LeasedTarget,
+  type LeaseRow,
+} from './rows.ts';
 
 /** Milliseconds without a renewal after which a contender takes over: four renewals. */
 export const LEASE_MS = 2_000;
 /** Milliseconds between two renewals. */
 const RENEWAL_MS = 500;
+/** Milliseconds after a renewal in which an owner may order VMs: one renewal and its answer. */
+export const FRESH_MS = 800;
+/** Milliseconds by which the store's clock must have passed a lease before it counts as gone. */
+const EXPIRY_MARGIN_MS = 100;
 /** Milliseconds before a failed call is repeated. */
 const RETRY_MS = 150;
 /** Milliseconds that a named successor has before another contender takes a released lease. */
@@ -25,14 +36,26 @@
   readonly fenceVersion: number;
   /** What the predecessor's lease row said. */
   readonly predecessor: LeaseRow | undefined;
+  /** Milliseconds for which that row had been seen unchanged at the take-over. */
+  readonly predecessorAgeMs: number;
+}
+
+/** What an owner tells its successor with each renewal. */
+export interface TermReport {
+  /** Targets on which this node may hold leases. */
+  readonly targets: readonly LeasedTarget[];
+  /** Milliseconds since the last order for a VM. */
+  readonly vmOrderAgeMs: number | undefined;
 }
 
 /** Told about changes of the owner. */
 export abstract class OwnershipListener {
   abstract handleTaken(term: Term): void;
   abstract handleLost(reason: string): void;
-  /** Targets on which this node may hold leases; they are written with each renewal. */
-  abstract listTargets(): readonly string[];
+  /** What the next renewal writes. */
+  abstract describeTerm(): TermReport;
+  /** Told when a renewal has been written. */
+  abstract handleRenewed(report: TermReport): void;
 }
 
 /** Options of a contender. */
@@ -58,11 +81,15 @@
   /** Steady instant since which the lease row is known to be unchanged. */
   #unchangedSince = 0;
   #isFailing = false;
+  /** A call failed in this lifetime: the owner may not have been able to renew either. */
+  #hasFailed = false;
   #isStopped = false;
   /** Steady instant at which the last renewal that succeeded was sent. */
   #confirmedAt = 0;
   /** Epoch of this process's last term; a term that was given up is not taken up again. */
   #lastEpoch = 0;
+  /** The lease that the last try to take over was made against, and since when it had stood. */
+  #contested: { readonly lease: LeaseRow | undefined; readonly since: number } | undefined;
 
   constructor(options: OwnershipOptions) {
     this.#options = options;
@@ -77,9 +104,9 @@
     return this.#term;
   }
 
-  /** Tells whether no other node can have taken over yet, as far as this node's clock says. */
-  get isCertain(): boolean {
-    return this.#term !== undefined && performance.now() - this.#confirmedAt < LEASE_MS;
+  /** Tells whether a renewal was written so lately that no other node can own for long yet. */
+  get isFresh(): boolean {
+    return this.#term !== undefined && performance.now() - this.#confirmedAt < FRESH_MS;
   }
 
   /** Watches or renews until it is stopped. */
@@ -173,7 +200,9 @@
   }
 
   #fail(fault: StoreFault): boolean {
-    if (fault.kind !== StoreFaultKind.HistoryGone) this.#isFailing = true;
+    if (fault.kind === StoreFaultKind.HistoryGone) return false;
+    this.#isFailing = true;
+    this.#hasFailed = true;
     return false;
   }
 
@@ -189,14 +218,28 @@
     const unchangedMs = performance.now() - this.#unchangedSince;
     const { node, patienceMs } = this.#options;
     if (this.#lease === undefined) return patienceMs - unchangedMs;
-    if (!this.#lease.isReleased) return LEASE_MS + patienceMs - unchangedMs;
+    if (!this.#lease.isReleased) {
+      return Math.min(this.#computeExpiry(this.#lease), LEASE_MS + patienceMs - unchangedMs);
+    }
     const { successor } = this.#lease;
     if (successor === node) return 0;
     return (successor === undefined ? 0 : SUCCESSOR_HEAD_START_MS) + patienceMs - unchangedMs;
   }
 
+  /**
+   * Milliseconds until the store's clock has passed the lease. It counts only in a lifetime in
+   * which the store always answered, as after a restart of all nodes: nobody needs to watch then.
+   */
+  #computeExpiry(lease: LeaseRow): number {
+    const { store, patienceMs } = this.#options;
+    if (this.#hasFailed || store.now === undefined || lease.expiresAt === undefined)
+      return Infinity;
+    return lease.expiresAt + EXPIRY_MARGIN_MS + patienceMs - store.now;
+  }
+
   async #takeOver(): Promise<void> {
     const epoch = (this.#lease?.epoch ?? 0) + 1;
+    this.#contested = { lease: this.#lease, since: this.#unchangedSince };
     const value = encodeLease(this.#buildLease(epoch));
     const sentAt = performance.now();
     const result = await this.#options.store.commit({
@@ -222,13 +265,14 @@
   }
 
   #begin(version: number): void {
-    const predecessor = this.#isOwn() ? undefined : this.#lease;
-    const epoch = this.#isOwn() ? (this.#lease?.epoch ?? 1) : (this.#lease?.epoch ?? 0) + 1;
+    const predecessor = this.#contested?.lease;
+    const epoch = (predecessor?.epoch ?? 0) + 1;
     this.#leaseVersion = version;
     this.#lease = this.#buildLease(epoch);
     this.#feedVersion = undefined;
     this.#lastEpoch = epoch;
-    this.#term = { epoch, token: version, fenceVersion: version, predecessor };
+    const predecessorAgeMs = performance.now() - (this.#contested?.since ?? 0);
+    this.#term = { epoch, token: version, fenceVersion: version, predecessor, predecessorAgeMs };
     this.#options.logger.writeInfo('ownership taken', {
       epoch,
       token: version,
@@ -241,11 +285,13 @@
     await sleep(RENEWAL_MS);
     if (this.#term !== term) return;
     const sentAt = performance.now();
-    const result = await this.#putLease(term, this.#buildLease(term.epoch));
+    const lease = this.#buildLease(term.epoch);
+    const result = await this.#putLease(term, lease);
     if (this.#term !== term) return;
     if (result.isOk()) {
       this.#leaseVersion = result.value;
       this.#confirmedAt = sentAt;
+      this.#options.listener.handleRenewed(lease);
       if (this.#isFailing) this.#options.logger.writeInfo('lease renewed again');
       this.#isFailing = false;
       return;
@@ -283,8 +329,16 @@
   }
 
   #buildLease(epoch: number): LeaseRow {
-    const { node, incarnation, address, listener } = this.#options;
-    const targets = listener.listTargets();
-    return { node, incarnation, address, epoch, isReleased: false, successor: undefined, targets };
+    const { node, incarnation, address, listener, store } = this.#options;
+    return {
+      ...listener.describeTerm(),
+      node,
+      incarnation,
+      address,
+      epoch,
+      isReleased: false,
+      successor: undefined,
+      expiresAt: store.now === undefined ? undefined : Math.round(store.now + LEASE_MS),
+    };
   }
 }
--- a/packages/ownership/src/rows.ts
+++ b/packages/ownership/src/rows.ts
@@ -20,8 +20,23 @@
   readonly isReleased: boolean;
   /** Node that should take over first after a release. */
   readonly successor: string | undefined;
+  /** On the store's steady clock: the owner counts as gone after it. */
+  readonly expiresAt: number | undefined;
+  /** Milliseconds from the owner's last order for a VM to this writing; undefined without one. */
+  readonly vmOrderAgeMs: number | undefined;
   /** Targets on which this owner may hold leases. */
-  readonly targets: readonly string[];
+  readonly targets: readonly LeasedTarget[];
+}
+
+/** A target on which an owner may hold leases. */
+export interface LeasedTarget {
+  readonly id: string;
+  readonly service: string;
+  /**
+   * Set while the target does not answer: the tasks that may run there, and no others, since it
+   * gets none until a later writing leaves this out.
+   */
+  readonly tasks?: readonly string[];
 }
 
 /** Encodes a lease row. */
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -7,7 +7,9 @@
   LEASE_ROW,
   Ownership,
   OwnershipListener,
+  type LeasedTarget,
   type Term,
+  type TermReport,
 } from '@currantgap/ownership';
 import { MemoryStore, StoreTrouble } from '@currantgap/standins';
 import { Logger, setLogSink } from '@currantgap/telemetry';
@@ -17,7 +19,8 @@
 class RecordingListener extends OwnershipListener {
   readonly terms: Term[] = [];
   readonly losses: string[] = [];
-  targets: string[] = [];
+  renewals = 0;
+  targets: LeasedTarget[] = [];
 
   handleTaken(term: Term): void {
     this.terms.push(term);
@@ -27,8 +30,12 @@
     this.losses.push(reason);
   }
 
-  listTargets(): readonly string[] {
-    return this.targets;
+  describeTerm(): TermReport {
+    return { targets: this.targets, vmOrderAgeMs: undefined };
+  }
+
+  handleRenewed(): void {
+    this.renewals += 1;
   }
 }
 
@@ -75,14 +82,15 @@
     const store = new MemoryStore();
     const first = new Contender(store, 'a');
     await waitUntil(() => first.isOwner);
-    first.listener.targets = ['t1'];
+    const target = { id: 't1', service: 'kartes' };
+    first.listener.targets = [target];
     const second = new Contender(store, 'b');
     await first.ownership.release(undefined);
     await waitUntil(() => second.isOwner);
     const [before] = first.listener.terms;
     const [after] = second.listener.terms;
     assert.ok((after?.token ?? 0) > (before?.token ?? 0));
-    assert.deepEqual(after?.predecessor?.targets, ['t1']);
+    assert.deepEqual(after?.predecessor?.targets, [target]);
     await second.ownership.release(undefined);
   });
 
@@ -144,4 +152,25 @@
     void other.ownership.release(undefined);
     await owner.ownership.release(undefined);
   });
+
+  it('is taken as soon as the store shows the lease as over, when all nodes have restarted', async () => {
+    const store = new MemoryStore();
+    const before = new Contender(store, 'a');
+    await waitUntil(() => before.isOwner);
+    const lease = decodeLease(store.peek(LEASE_ROW)?.value ?? '');
+    const value = JSON.stringify({ ...lease, incarnation: 'a.0', expiresAt: store.now - 1 });
+    const puts = [
+      { ...LEASE_ROW, value },
+      { ...FENCE_ROW, value: '1' },
+    ];
+    await store.commit({ conditions: [], puts, removals: [] });
+    void before.ownership.release(undefined);
+    const startedAt = performance.now();
+    const after = new Contender(store, 'b');
+    await waitUntil(() => after.isOwner);
+    const { predecessor, predecessorAgeMs } = after.listener.terms[0] ?? {};
+    assert.equal(predecessor?.incarnation, 'a.0');
+    assert.ok((predecessorAgeMs ?? Infinity) <= performance.now() - startedAt);
+    await after.ownership.release(undefined);
+  });
 });
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -40,6 +40,10 @@
   #late: Transaction[] = [];
   readonly #waiters = new Set<() => void>();
 
+  get now(): number {
+    return performance.now();
+  }
+
   /** Version of the newest transaction. */
   get version(): number {
     return this.#version;
@@ -127,7 +131,8 @@
     );
     if (!isMet) return err(createFault(StoreFaultKind.Conflict, present));
     this.#version += 1;
-    for (const put of transaction.puts) this.#set({ ...put, version: this.#version, isDeleted: false });
+    for (const put of transaction.puts)
+      this.#set({ ...put, version: this.#version, isDeleted: false });
     for (const removal of transaction.removals) {
       this.#set({ ...removal, value: '', version: this.#version, isDeleted: true });
     }
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -77,6 +77,8 @@
 
 /** The platform's transactional store: linearizable, one rising version. */
 export abstract class Store {
+  /** The store's steady clock in milliseconds, as last read; undefined before the first answer. */
+  abstract get now(): number | undefined;
   /** Applies a transaction and returns its version. */
   abstract commit(transaction: Transaction): Promise<Result<number, StoreFault>>;
   /** Reads rows of one part in key order. */
