--- /dev/null
+++ b/packages/execution/test/ledger.test.ts
@@ -0,0 +1,69 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { JobState } from '@currantgap/model';
+import { FENCE_ROW, OWNER_PART } from '@currantgap/ownership';
+import { StoreTrouble } from '@currantgap/standins';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { LEDGER_TABLE } from '../src/ledger.ts';
+import { TermHarness } from './term-harness.ts';
+
+const ID = '0000000000000001';
+const ROW = { table: LEDGER_TABLE, part: OWNER_PART, key: ID };
+
+async function waitUntil(isTrue: () => boolean): Promise<void> {
+  while (!isTrue()) await sleep(5);
+}
+
+describe('the ledger', () => {
+  it('says which generation is written and shows the state only then', async () => {
+    const harness = new TermHarness();
+    await harness.openFence();
+    const job = harness.addJob(ID, [{}]);
+    job.state = JobState.Completed;
+    const generation = harness.context.ledger.add(job);
+    assert.equal(job.storedState, JobState.Pending);
+    await waitUntil(() => harness.written.includes(generation));
+    assert.equal(job.storedState, JobState.Completed);
+    assert.equal(job.ledgerVersion, harness.store.peek(ROW)?.version);
+  });
+
+  it('finds out that a write without an answer was done', async () => {
+    const harness = new TermHarness();
+    await harness.openFence();
+    const job = harness.addJob(ID, [{}]);
+    harness.store.trouble = StoreTrouble.AnswerLost;
+    const generation = harness.context.ledger.add(job);
+    await waitUntil(() => harness.store.peek(ROW) !== undefined);
+    harness.store.trouble = StoreTrouble.None;
+    await waitUntil(() => harness.written.some((written) => written >= generation));
+    assert.equal(job.ledgerVersion, harness.store.peek(ROW)?.version);
+  });
+
+  it('is not set back by a write that takes effect late', async () => {
+    const harness = new TermHarness();
+    await harness.openFence();
+    const job = harness.addJob(ID, [{}]);
+    harness.store.trouble = StoreTrouble.Late;
+    harness.context.ledger.add(job);
+    const sent = harness.store.commits;
+    await waitUntil(() => harness.store.commits > sent);
+    harness.store.trouble = StoreTrouble.None;
+    job.state = JobState.Completed;
+    const generation = harness.context.ledger.add(job);
+    await waitUntil(() => harness.written.some((written) => written >= generation));
+    harness.store.applyLate();
+    assert.match(harness.store.peek(ROW)?.value ?? '', /completed/);
+  });
+
+  it('gives the term up when another node has the fence', async () => {
+    const harness = new TermHarness();
+    await harness.openFence();
+    const puts = [{ ...FENCE_ROW, value: '2' }];
+    await harness.store.commit({ conditions: [], puts, removals: [] });
+    harness.context.ledger.add(harness.addJob(ID, [{}]));
+    await waitUntil(() => harness.depositions.length > 0);
+    assert.deepEqual(harness.depositions, ['fenced']);
+    assert.equal(harness.store.peek(ROW), undefined);
+    harness.context.ledger.stop();
+  });
+});
--- /dev/null
+++ b/packages/execution/test/planner.test.ts
@@ -0,0 +1,110 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { TargetState } from '@currantgap/model';
+import type { LeaseRow } from '@currantgap/ownership';
+import { Orders } from '../src/orders.ts';
+import { Planner } from '../src/planner.ts';
+import { CORE, TermHarness } from './term-harness.ts';
+
+const ID = '0000000000000001';
+
+function plan(harness: TermHarness): string[] {
+  new Planner(harness.context, new Orders(harness.context)).plan();
+  return harness.targets.starts.map(({ task, target }) => `${task} on ${target}`);
+}
+
+describe('the planner', () => {
+  it('starts a task where there is room and never beyond it', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addJob(ID, [{ count: 6 }]);
+    assert.equal(plan(harness).length, 4);
+  });
+
+  it('keeps a step back until the steps before it are done', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addJob(ID, [{}, { after: [0] }]);
+    assert.deepEqual(plan(harness), [`${ID}.0.0.0 on t1`]);
+  });
+
+  it('starts nothing in a data centre that was taken out, nor on a draining target', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addTarget('t2', { dataCentre: 'cesis', state: TargetState.Draining });
+    harness.evacuated = new Set(['riga-a']);
+    harness.addJob(ID, [{}]);
+    assert.deepEqual(plan(harness), []);
+  });
+
+  it('keeps tasks of a step apart', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addTarget('t2');
+    harness.addJob(ID, [{ count: 4, antiAffinity: 1 }]);
+    const starts = plan(harness);
+    assert.equal(starts.length, 2);
+    assert.notEqual(starts[0]?.split(' ').at(-1), starts[1]?.split(' ').at(-1));
+  });
+
+  it('asks for the required label', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addTarget('t2', { labels: ['b', 'r2'] });
+    harness.addJob(ID, [{ requiredLabel: 'b' }]);
+    assert.deepEqual(plan(harness), [`${ID}.0.0.0 on t2`]);
+  });
+
+  it('keeps a team within its cap', () => {
+    const cap = { cpuMillis: 2 * CORE, memoryMb: 0, gpus: 0 };
+    const harness = new TermHarness({ cap });
+    harness.addTarget('t1');
+    harness.addJob(ID, [{ count: 4 }]);
+    assert.equal(plan(harness).length, 2);
+  });
+
+  it('starts a gang whole or not at all, with one run number', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addJob(ID, [{ count: 5, isGang: true }]);
+    assert.deepEqual(plan(harness), []);
+    harness.addTarget('t2');
+    assert.equal(plan(harness).length, 5);
+    assert.equal(new Set(harness.targets.starts.map(({ run }) => run)).size, 1);
+  });
+
+  it('sends a task back to another target than the one on which it failed', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    const busy = harness.addTarget('t2');
+    busy.used.add({ cpuMillis: CORE, memoryMb: 0, gpus: 0 });
+    const job = harness.addJob(ID, [{}]);
+    job.openOccurrence(0).steps[0]?.tasks[0]?.failedOn.add('t1');
+    assert.deepEqual(plan(harness), [`${ID}.0.0.0 on t2`]);
+  });
+
+  it('starts work of an earlier term only when it surely runs nowhere', () => {
+    const predecessor = {
+      epoch: 1,
+      targets: [{ id: 't9', service: 'kartes' }],
+    } as unknown as LeaseRow;
+    const harness = new TermHarness({ predecessor });
+    harness.addTarget('t1');
+    harness.addJob(ID, [{}], true);
+    harness.addJob('0000000000000002', [{}]);
+    assert.deepEqual(plan(harness), ['0000000000000002.0.0.0 on t1']);
+    harness.context.settling.record('t9');
+    assert.equal(plan(harness).length, 2);
+  });
+
+  it('numbers runs of a later epoch higher than those it never heard of', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addJob(ID, [{ count: 3 }]);
+    plan(harness);
+    assert.deepEqual(
+      harness.targets.starts.map(({ run }) => run),
+      [10_001, 10_002, 10_003],
+    );
+  });
+});
