feat(execution): advice tickets, pace of fillers, draining targets, removal of old jobs

Also: a fenced ledger went on retrying and kept its process busy (found as a test that did not end: packages/execution/test/reports.test.ts); it stops itself now.

--- a/packages/execution/src/ledger.ts
+++ b/packages/execution/src/ledger.ts
@@ -125,6 +125,7 @@
   #resolveConflict(rows: readonly Row[], jobs: readonly Job[]): void {
     const fence = rows.find((row) => row.table === FENCE_ROW.table);
     if (fence?.version !== this.#options.term.fenceVersion) {
+      this.stop();
       this.#options.onFenced();
       return;
     }
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -6,7 +6,10 @@
 import { Task, type Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { AdviceDesk } from './advice-desk.ts';
+import { Cleaner } from './cleaner.ts';
 import type { OwnerBounds, OwnerContext } from './context.ts';
+import { Drainer } from './drainer.ts';
 import { Fleet } from './fleet.ts';
 import { Holds } from './holds.ts';
 import { Intake } from './intake.ts';
@@ -14,9 +17,10 @@
 import { Ledger, LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import { getLeaseMs, Orders } from './orders.ts';
+import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
 import { PoolArrivals } from './pool-arrivals.ts';
-import { HoldFault, StartOutcome, type TargetPort, type VmPort } from './ports.ts';
+import { HoldFault, StartOutcome, type AdvicePort, type TargetPort, type VmPort } from './ports.ts';
 import { Reports } from './reports.ts';
 import { reportLoad } from './pool-load.ts';
 import { Settling } from './settling.ts';
@@ -55,6 +59,8 @@
   readonly targetPort: TargetPort;
   readonly registry: Registry;
   readonly getOperatorView: () => OperatorView;
+  /** Undefined where the deployment has no advice service. */
+  readonly advicePort: AdvicePort | undefined;
   /** Undefined where the deployment has no VM service. */
   readonly vmPort: VmPort | undefined;
   /** Tells whether this node's lease was renewed just now. */
@@ -72,6 +78,8 @@
   readonly #reports: Reports;
   readonly #holds: Holds;
   readonly #planner: Planner;
+  readonly #advice: AdviceDesk;
+  readonly #sweepers: readonly { sweep(): void }[];
   readonly #vmWork: VmWork | undefined;
   readonly #intake: Intake;
   readonly #followers: Follower[] = [];
@@ -88,7 +96,13 @@
     this.#orders = new Orders(this.#context);
     this.#reports = new Reports(this.#context, this.#orders);
     this.#holds = new Holds(this.#context);
-    this.#planner = new Planner(this.#context, this.#orders);
+    this.#advice = new AdviceDesk(this.#context, options.advicePort);
+    this.#planner = new Planner(this.#context, this.#orders, this.#advice);
+    this.#sweepers = [
+      new Drainer(this.#context, this.#orders),
+      new Pacer(this.#context),
+      new Cleaner(this.#context, options.store),
+    ];
     this.#intake = new Intake(this.#context, this.#orders, this.#reports);
     this.#vmWork = this.#buildVmWork();
   }
@@ -171,6 +185,9 @@
       case 'started':
         this.#orders.applyStarted(message.target, message.assignment, message.outcome);
         if (message.outcome === StartOutcome.Unknown) this.#holds.look(message.target);
+        if (message.outcome === StartOutcome.TicketInvalid) {
+          this.#advice.drop(message.assignment.task.step, message.target.id);
+        }
         break;
       case 'stopped':
         this.#orders.applyStopped(message.target, message.assignment, message.outcome);
@@ -354,6 +371,7 @@
     }
     this.#holds.sendDue();
     this.#vmWork?.sweep();
+    for (const sweeper of this.#sweepers) sweeper.sweep();
     if (now < this.#loadReportedAt + LOAD_PERIOD_MS) return;
     this.#loadReportedAt = now;
     reportLoad(this.#context);
--- /dev/null
+++ b/packages/execution/src/pacer.ts
@@ -0,0 +1,62 @@
+import { AttemptPhase } from '@currantgap/jobs';
+import { decidePace, type ServingReading } from '@currantgap/scheduling';
+import type { OwnerContext } from './context.ts';
+import { OrderOutcome } from './ports.ts';
+import type { Assignment, TargetRecord } from './target-record.ts';
+
+/** Milliseconds between changes at one target: the readings cover the last half second. */
+const PERIOD_MS = 500;
+
+/** Slows fillers down where serving tasks beside them miss their latency targets. */
+export class Pacer {
+  readonly #context: OwnerContext;
+
+  constructor(context: OwnerContext) {
+    this.#context = context;
+  }
+
+  /** Looks at each target whose last change is old enough. */
+  sweep(): void {
+    const { now } = this.#context.clock;
+    for (const target of this.#context.fleet.targets) {
+      if (now < target.paceChangedAt + PERIOD_MS) continue;
+      target.paceChangedAt = now;
+      this.#settle(target);
+    }
+  }
+
+  #settle(target: TargetRecord): void {
+    const fillers: Assignment[] = [];
+    const readings: ServingReading[] = [];
+    for (const assignment of target.assignments) {
+      const { task, attempt } = assignment;
+      if (attempt.phase !== AttemptPhase.Running) continue;
+      const { isFiller, latencyTargetMs } = task.step.definition;
+      if (isFiller) fillers.push(assignment);
+      else if (latencyTargetMs > 0) {
+        readings.push({ tailMs: attempt.reading, targetMs: latencyTargetMs });
+      }
+    }
+    if (fillers.length === 0) return;
+    const pace = decidePace(target.pace, readings);
+    if (pace !== target.pace) {
+      this.#context.logger.writeInfo('pace changed', {
+        target: target.id,
+        from: target.pace,
+        to: pace,
+        tails: readings.map(({ tailMs, targetMs }) => `${tailMs}/${targetMs}`).join(' '),
+      });
+      target.pace = pace;
+    }
+    for (const filler of fillers)
+      if (filler.attempt.pace !== pace) this.#send(target, filler, pace);
+  }
+
+  #send(target: TargetRecord, { task, attempt }: Assignment, percent: number): void {
+    const { targetPort, term } = this.#context;
+    const order = { task: task.name, run: attempt.run, token: term.token, percent };
+    void targetPort.setPace(target.address, order).then((outcome) => {
+      if (outcome === OrderOutcome.Accepted) attempt.pace = percent;
+    });
+  }
+}
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -9,6 +9,7 @@
   type PlacementRequest,
   type Urgent,
 } from '@currantgap/scheduling';
+import type { AdviceDesk } from './advice-desk.ts';
 import { getWallNow, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-book.ts';
 import { takeRunNumber, type Orders } from './orders.ts';
@@ -28,10 +29,12 @@
 export class Planner {
   readonly #context: OwnerContext;
   readonly #orders: Orders;
+  readonly #advice: AdviceDesk;
 
-  constructor(context: OwnerContext, orders: Orders) {
+  constructor(context: OwnerContext, orders: Orders, advice: AdviceDesk) {
     this.#context = context;
     this.#orders = orders;
+    this.#advice = advice;
   }
 
   /** Starts what can start now. */
@@ -110,9 +113,11 @@
     };
   }
 
-  #place(ready: ReadyStep, open: readonly TargetRecord[]): void {
+  #place(ready: ReadyStep, pool: readonly TargetRecord[]): void {
+    const { step, waiting, record } = ready;
+    if (pool.length === 0 || record.route === undefined) return;
+    const open = this.#advice.listAllowed(step, record.route, pool, waiting.length);
     if (open.length === 0) return;
-    const { step, waiting } = ready;
     if (step.definition.isGang) {
       this.#placeGang(step, open);
       return;
@@ -122,7 +127,8 @@
       if (!this.#isWithinCap(step, step.definition.request)) return;
       const target = chooseTarget({ ...request, failedOn: task.failedOn }, open);
       if (target === undefined) return;
-      this.#orders.start(task, target, takeRunNumber(this.#context, task));
+      const ticket = this.#advice.getTicket(step, target.id);
+      this.#orders.start(task, target, takeRunNumber(this.#context, task), ticket);
     }
   }
 
@@ -146,7 +152,7 @@
         const target = targets[index];
         if (target === undefined) continue;
         task.checkpoint = checkpoint;
-        this.#orders.start(task, target, run);
+        this.#orders.start(task, target, run, this.#advice.getTicket(step, target.id));
       }
       return;
     }
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -43,6 +43,8 @@
   /** Pace that its fillers were last given. */
   pace = 100;
   paceChangedAt = 0;
+  /** Instant at which it was first seen draining. */
+  drainingSince: number | undefined;
   readonly used = new ResourceSum();
   readonly health = new TargetHealth();
   readonly #assignments = new Map<string, Assignment>();
--- a/packages/execution/test/planner.test.ts
+++ b/packages/execution/test/planner.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from 'node:test';
 import { TargetState } from '@currantgap/model';
 import type { LeaseRow } from '@currantgap/ownership';
+import { AdviceDesk } from '../src/advice-desk.ts';
 import { Orders } from '../src/orders.ts';
 import { Planner } from '../src/planner.ts';
 import { CORE, TermHarness } from './term-harness.ts';
@@ -9,7 +10,8 @@
 const ID = '0000000000000001';
 
 function plan(harness: TermHarness): string[] {
-  new Planner(harness.context, new Orders(harness.context)).plan();
+  const { context } = harness;
+  new Planner(context, new Orders(context), new AdviceDesk(context, undefined)).plan();
   return harness.targets.starts.map(({ task, target }) => `${task} on ${target}`);
 }
 
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -1,4 +1,4 @@
-import { Job } from '@currantgap/jobs';
+import type { Job } from '@currantgap/jobs';
 import {
   TargetState,
   type Configuration,
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -6,6 +6,7 @@
   decodeSubmission,
   decodeTargetEntry,
   encodeWaveStatus,
+  HttpAdvice,
   HttpCaller,
   HttpStore,
   HttpTargets,
@@ -139,6 +140,7 @@
       registry: { table: TARGET_TABLE, decode: decodeTargetEntry },
       getOperatorView: () => this.#operators.view,
       vmPort: this.#createVmPort(),
+      advicePort: this.#createAdvicePort(),
       isCertain: () => this.#ownership.isFresh,
       encodeWaveStatus: (wave, isComplete) => ({
         table: STATUS_TABLE,
@@ -174,6 +176,11 @@
     return new HttpVms({ address: vmServiceAddress, caller: this.#caller, holder: node });
   }
 
+  #createAdvicePort(): HttpAdvice | undefined {
+    const { adviceAddress } = this.#settings.current;
+    return adviceAddress === undefined ? undefined : new HttpAdvice(adviceAddress, this.#caller);
+  }
+
   #isReady(): boolean {
     if (this.#isStopping || this.#operators.routes === undefined) return false;
     return this.#front.isStoreReachable;
--- a/packages/scheduling/src/pacing.ts
+++ b/packages/scheduling/src/pacing.ts
@@ -4,6 +4,10 @@
 const SPEED_UP_BELOW = 0.55;
 /** Percent by which fillers speed up at a time: small, since the tail answers late. */
 const SPEED_UP_STEP = 15;
+/** Percent by which fillers slow down while the tail only nears its target. */
+const SLOW_DOWN_STEP = 10;
+/** Percent below which a filler that still disturbs is stopped. */
+const LOWEST_PACE = 15;
 const FULL_PACE = 100;
 
 /** A serving task's reading against its target. */
@@ -18,8 +22,8 @@
   for (const { tailMs, targetMs } of readings) {
     if (targetMs > 0) worst = Math.max(worst, tailMs / targetMs);
   }
-  if (worst > 1) return 0;
-  if (worst > SLOW_DOWN_ABOVE) return Math.floor(current / 2);
+  if (worst > 1) return current <= LOWEST_PACE ? 0 : Math.floor(current / 2);
+  if (worst > SLOW_DOWN_ABOVE) return Math.max(0, current - SLOW_DOWN_STEP);
   if (worst < SPEED_UP_BELOW) return Math.min(FULL_PACE, current + SPEED_UP_STEP);
   return current;
 }
