--- a/eslint.config.js
+++ b/eslint.config.js
@@ -42,7 +42,7 @@
     },
   },
   {
-    files: ['packages/*/test/**/*.ts', 'packages/features/**/*.ts'],
+    files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts', 'packages/features/**/*.ts'],
     rules: { '@typescript-eslint/no-floating-promises': 'off', 'local/verbs': 'off' },
   },
   ...boundaries,
--- /dev/null
+++ b/packages/fleet/test/fleet.test.ts
@@ -0,0 +1,63 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { canDisrupt, decideSizes, sortDueVms, type DueVm } from '@currantgap/fleet';
+
+function createDue(name: string, changes: Partial<DueVm> = {}): DueVm {
+  return { name, isOff: false, persistentTasks: 0, otherTasks: 0, isPoolBusy: false, ...changes };
+}
+
+describe('the sizes of pools', () => {
+  it('follow a burst of five times the mean in one pool and leave the others their floor', () => {
+    const sizes = decideSizes(
+      [
+        { service: 'kartes', persistentVms: 5, demandVms: 20 },
+        { service: 'velves', persistentVms: 5, demandVms: 0.4 },
+        { service: 'lauks', persistentVms: 3, demandVms: 0 },
+      ],
+      40,
+    );
+    assert.deepEqual([...sizes.values()], [21, 5, 3]);
+  });
+
+  it('share what there is when two pools want more than all', () => {
+    const sizes = decideSizes(
+      [
+        { service: 'kartes', persistentVms: 2, demandVms: 30 },
+        { service: 'velves', persistentVms: 2, demandVms: 30 },
+      ],
+      24,
+    );
+    assert.deepEqual([...sizes.values()], [12, 12]);
+  });
+
+  it('keep idle pools small, so that the rest can be switched off', () => {
+    const sizes = decideSizes([{ service: 'kartes', persistentVms: 0, demandVms: 0 }], 8);
+    assert.equal(sizes.get('kartes'), 2);
+  });
+});
+
+describe('a maintenance wave', () => {
+  it('begins with VMs that are off, then idle ones, and leaves busy pools for later', () => {
+    const due = [
+      createDue('busy', { isPoolBusy: true }),
+      createDue('persistent', { persistentTasks: 1 }),
+      createDue('idle', { otherTasks: 1 }),
+      createDue('off', { isOff: true, isPoolBusy: true }),
+    ];
+    const names = (share: number): string[] => sortDueVms(due, share).map(({ name }) => name);
+    assert.deepEqual(names(0.1), ['off', 'idle', 'persistent']);
+    assert.deepEqual(names(0.9), ['off', 'idle', 'persistent', 'busy']);
+  });
+});
+
+describe('a disruption budget', () => {
+  it('counts tasks that are away for any cause', () => {
+    assert.ok(canDisrupt({ budget: 2, away: 1 }));
+    assert.equal(canDisrupt({ budget: 2, away: 2 }), false);
+  });
+
+  it('lets one go at a time where none is stated', () => {
+    assert.ok(canDisrupt({ budget: 0, away: 0 }));
+    assert.equal(canDisrupt({ budget: 0, away: 1 }), false);
+  });
+});
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -6,6 +6,8 @@
 const ROWS_PER_TRANSACTION = 40;
 /** Bytes in one transaction, well under the megabyte that the protocol allows. */
 const BYTES_PER_TRANSACTION = 400_000;
+/** Milliseconds in which rows gather for one transaction; a small part of the store's own time. */
+const GATHER_MS = 3;
 /** Transactions under way at once: one slow answer does not hold up all others. */
 const MAXIMUM_TRANSACTIONS = 3;
 /** Milliseconds before a write without an answer is tried again. */
@@ -47,6 +49,7 @@
   readonly #logger: Logger;
   #pending: PendingWrite[] = [];
   #underWay = 0;
+  #isGathering = false;
   #failures = 0;
   #brokenUntil = 0;
 
@@ -65,10 +68,19 @@
     if (this.isBroken && performance.now() < this.#brokenUntil) return WriteOutcome.Refused;
     return new Promise((resolve) => {
       this.#pending.push({ ...write, isUncertain: false, resolve });
-      this.#send();
+      this.#schedule();
     });
   }
 
+  #schedule(): void {
+    if (this.#isGathering) return;
+    this.#isGathering = true;
+    setTimeout(() => {
+      this.#isGathering = false;
+      this.#send();
+    }, GATHER_MS);
+  }
+
   #send(): void {
     while (this.#pending.length > 0 && this.#underWay < MAXIMUM_TRANSACTIONS) {
       const batch = this.#takeBatch();
@@ -77,8 +89,6 @@
         this.#underWay -= 1;
         this.#send();
       });
-      // One transaction gathers what comes while it is under way; more only for what is left over.
-      if (this.#pending.length === 0) return;
     }
   }
 
--- /dev/null
+++ b/packages/ingress/test/front.test.ts
@@ -0,0 +1,159 @@
+import assert from 'node:assert/strict';
+import { once } from 'node:events';
+import { createServer, request, type IncomingMessage, type Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { after, before, describe, it } from 'node:test';
+import { Front, FrontObserver, OwnerAnswer, OwnerPort, RouteTable } from '@currantgap/ingress';
+import { JobState, type Configuration, type Route } from '@currantgap/model';
+import { decodeSubmission } from '@currantgap/platform-adapter';
+import { MemoryStore, StoreTrouble } from '@currantgap/standins';
+import { Logger, setLogSink } from '@currantgap/telemetry';
+
+setLogSink(() => undefined);
+
+const ID = '00000000000000aa';
+const BODY = JSON.stringify({ spec: 'x', steps: [{ count: 1, cpu: 500, mem_mb: 1 }] });
+
+class SilentObserver extends FrontObserver {
+  observe(): void {
+    // The calls are not counted here.
+  }
+}
+
+class ScriptedOwner extends OwnerPort {
+  state: JobState | OwnerAnswer = OwnerAnswer.Unreachable;
+
+  async findState(): Promise<JobState | OwnerAnswer> {
+    return Promise.resolve(this.state);
+  }
+
+  async countWaiting(): Promise<number | undefined> {
+    return Promise.resolve(undefined);
+  }
+}
+
+function createRoute(pathPrefix: string, isPublic: boolean): Route {
+  return {
+    name: pathPrefix,
+    host: 'host.example',
+    pathPrefix,
+    service: 'kartes',
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 1,
+    latencyObjectiveMs: 600,
+    isPublic,
+    advice: undefined,
+  };
+}
+
+const CONFIGURATION: Configuration = {
+  version: 1,
+  routes: [createRoute('/a/', false), createRoute('/a/open/', true)],
+  services: [],
+  teams: [
+    { name: 'kurzeme', keys: ['good'], weight: 1, cap: { cpuMillis: 0, memoryMb: 0, gpus: 0 } },
+  ],
+  limits: { headerBytes: 1_000, bodyBytes: 2_000, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 },
+};
+
+interface CallOptions {
+  readonly key?: string;
+  readonly body?: string;
+}
+
+describe('the front', () => {
+  const store = new MemoryStore();
+  const owner = new ScriptedOwner();
+  let routes: RouteTable | undefined;
+  let server: Server;
+
+  before(async () => {
+    const front = new Front({
+      store,
+      logger: new Logger(),
+      owner,
+      observer: new SilentObserver(),
+      getRoutes: () => routes,
+      decodeSubmission,
+      deadlineHeader: 'x-deadline-ms',
+    });
+    server = createServer((incoming, response) => {
+      void front.handle(incoming, response);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  });
+
+  after(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  async function call(method: string, path: string, options: CallOptions = {}) {
+    const { port } = server.address() as AddressInfo;
+    const headers = {
+      host: 'host.example',
+      ...(options.key === undefined ? {} : { authorization: `Bearer ${options.key}` }),
+    };
+    const outgoing = request({ host: '127.0.0.1', port, method, path, headers });
+    outgoing.end(options.body);
+    const [response] = (await once(outgoing, 'response')) as [IncomingMessage];
+    let text = '';
+    for await (const chunk of response) text += String(chunk);
+    const retryAfter = response.headers['retry-after'];
+    return { status: response.statusCode, body: JSON.parse(text) as unknown, retryAfter };
+  }
+
+  it('answers 503 with a time to come back before there is a configuration', async () => {
+    const answer = await call('POST', `/a/${ID}`, { key: 'good', body: BODY });
+    assert.deepEqual([answer.status, answer.retryAfter], [503, '1']);
+    routes = new RouteTable(CONFIGURATION);
+  });
+
+  it('answers 404 where no route matches and 401 for a key of no team', async () => {
+    assert.equal((await call('POST', `/b/${ID}`, { key: 'good', body: BODY })).status, 404);
+    assert.equal((await call('POST', `/a/${ID}`, { key: 'bad', body: BODY })).status, 401);
+    assert.equal((await call('POST', `/a/${ID}`, { body: BODY })).status, 401);
+  });
+
+  it('takes the route with the longest prefix: the public one asks for no key', async () => {
+    assert.equal((await call('POST', '/a/open/00000000000000bb', { body: BODY })).status, 200);
+  });
+
+  it('accepts a submission once and answers a repeat alike', async () => {
+    const first = await call('POST', `/a/${ID}`, { key: 'good', body: BODY });
+    const version = store.version;
+    const second = await call('POST', `/a/${ID}`, { key: 'good', body: BODY });
+    assert.deepEqual([first.status, second.status], [200, 200]);
+    assert.equal(store.version, version);
+  });
+
+  it('names the remedy for a body that is no submission', async () => {
+    const answer = await call('POST', `/a/${ID}`, { key: 'good', body: '{"steps":[]}' });
+    assert.equal(answer.status, 400);
+    assert.match(JSON.stringify(answer.body), /Send at least one step/);
+  });
+
+  it('shows the state from the owner, and from the store when the owner is away', async () => {
+    owner.state = JobState.Running;
+    assert.deepEqual((await call('GET', `/a/${ID}`, { key: 'good' })).body, { state: 'running' });
+    owner.state = OwnerAnswer.Unreachable;
+    assert.deepEqual((await call('GET', `/a/${ID}`, { key: 'good' })).body, { state: 'pending' });
+  });
+
+  it('says 410 only when the store has shown that there is no such submission', async () => {
+    owner.state = OwnerAnswer.Unknown;
+    assert.equal((await call('GET', '/a/00000000000000cc', { key: 'good' })).status, 410);
+    store.trouble = StoreTrouble.Down;
+    assert.equal((await call('GET', '/a/00000000000000cc', { key: 'good' })).status, 503);
+    store.trouble = StoreTrouble.None;
+  });
+
+  it('stores a cancel before it answers', async () => {
+    assert.equal((await call('DELETE', `/a/${ID}`, { key: 'good' })).status, 200);
+    owner.state = OwnerAnswer.Unreachable;
+    assert.deepEqual((await call('GET', `/a/${ID}`, { key: 'good' })).body, { state: 'cancelled' });
+    assert.equal((await call('DELETE', '/a/00000000000000cc', { key: 'good' })).status, 410);
+  });
+});
--- /dev/null
+++ b/packages/ingress/test/intake-writer.test.ts
@@ -0,0 +1,77 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { IntakeWriter, WriteOutcome } from '@currantgap/ingress';
+import { MemoryStore, StoreTrouble } from '@currantgap/standins';
+import { Logger, setLogSink } from '@currantgap/telemetry';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+setLogSink(() => undefined);
+
+const LONG_MS = 60_000;
+
+function createWriter(store: MemoryStore): (key: string, waitMs?: number) => Promise<WriteOutcome> {
+  const writer = new IntakeWriter(store, new Logger());
+  return (key, waitMs = LONG_MS) =>
+    writer.write({
+      row: { table: 'intake', part: 'jobs', key, value: key },
+      isNew: true,
+      deadline: performance.now() + waitMs,
+    });
+}
+
+describe('a submission on its way to the store', () => {
+  it('is written once, with others in one transaction', async () => {
+    const store = new MemoryStore();
+    const write = createWriter(store);
+    const outcomes = await Promise.all(['a', 'b', 'c', 'd'].map((key) => write(key)));
+    assert.ok(outcomes.every((outcome) => outcome === WriteOutcome.Written));
+    assert.ok(store.commits <= 2, `${store.commits} transactions`);
+  });
+
+  it('is known when it comes again, and others beside it are written all the same', async () => {
+    const store = new MemoryStore();
+    const write = createWriter(store);
+    await write('a');
+    const outcomes = await Promise.all([write('b'), write('a'), write('c')]);
+    assert.deepEqual(outcomes, [WriteOutcome.Written, WriteOutcome.Known, WriteOutcome.Written]);
+  });
+
+  it('is refused at once when the store refuses: it will never run', async () => {
+    const store = new MemoryStore();
+    store.trouble = StoreTrouble.Down;
+    assert.equal(await createWriter(store)('a'), WriteOutcome.Refused);
+    assert.equal(store.version, 0);
+  });
+
+  it('is found to be written when the answer was lost', async () => {
+    const store = new MemoryStore();
+    store.trouble = StoreTrouble.AnswerLost;
+    const outcome = createWriter(store)('a');
+    await sleep(20);
+    store.trouble = StoreTrouble.None;
+    assert.equal(await outcome, WriteOutcome.Known);
+  });
+
+  it('is never called refused while a lost write may still take effect', async () => {
+    const store = new MemoryStore();
+    store.trouble = StoreTrouble.Late;
+    const outcome = createWriter(store)('a', 250);
+    await sleep(20);
+    store.trouble = StoreTrouble.Down;
+    assert.equal(await outcome, WriteOutcome.Unknown);
+    store.trouble = StoreTrouble.None;
+    store.applyLate();
+    assert.equal(store.version, 1);
+  });
+
+  it('does not wait for a store that has just failed again and again', async () => {
+    const store = new MemoryStore();
+    store.trouble = StoreTrouble.Down;
+    const write = createWriter(store);
+    await write('a');
+    await write('b');
+    const sent = store.commits;
+    assert.equal(await write('c'), WriteOutcome.Refused);
+    assert.equal(store.commits, sent);
+  });
+});
--- a/packages/scheduling/src/weights.ts
+++ b/packages/scheduling/src/weights.ts
@@ -13,8 +13,8 @@
     const level = Math.max(0, known.level - (elapsed / MILLISECONDS) * weight) + 1;
     const limit = Math.max(1, (weight * WINDOW_MS) / MILLISECONDS);
     const isWithin = level <= limit;
-    // What lies beyond earns no credit against what comes later.
-    this.#levels.set(team, { level: isWithin ? level : limit, at: Math.max(at, known.at) });
+    // What lies beyond does not count against what comes later.
+    this.#levels.set(team, { level: isWithin ? level : level - 1, at: Math.max(at, known.at) });
     return isWithin;
   }
 }
--- /dev/null
+++ b/packages/scheduling/test/decisions.test.ts
@@ -0,0 +1,208 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Step } from '@currantgap/model';
+import {
+  ArrivalMeter,
+  chooseTarget,
+  compareUrgency,
+  decidePace,
+  DurationModel,
+  isWithinCap,
+  TargetHealth,
+  WeightMeter,
+  type Candidate,
+  type PlacementRequest,
+  type Urgent,
+} from '@currantgap/scheduling';
+
+const CORE = 1_000;
+const STEP: Step = {
+  count: 1,
+  request: { cpuMillis: CORE, memoryMb: 100, gpus: 0 },
+  estimatedMs: 1_000,
+  after: [],
+  isCheckpointing: false,
+  isGang: false,
+  isSameRack: false,
+  requiredLabel: undefined,
+  dataRack: undefined,
+  antiAffinity: 0,
+  allowsDuplicates: false,
+  isPersistent: false,
+  image: undefined,
+  latencyTargetMs: 0,
+  isFiller: false,
+  disruptionBudget: 0,
+};
+
+function createUrgent(changes: Partial<Urgent> = {}): Urgent {
+  return {
+    isPersistent: false,
+    priority: 0,
+    leftMs: 2_000,
+    lateLeftMs: 6_000,
+    remainingMs: 1_000,
+    isWithinWeight: true,
+    hasStarted: false,
+    acceptedAt: 0,
+    ...changes,
+  };
+}
+
+function createCandidate(id: string, changes: Partial<Candidate> = {}): Candidate {
+  return {
+    id,
+    rack: 'r1',
+    labels: ['a', 'r1'],
+    capacity: { cpuMillis: 4 * CORE, memoryMb: 4_000, gpus: 0 },
+    used: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
+    hasPersistent: false,
+    slowness: 1,
+    ...changes,
+  };
+}
+
+function createRequest(step: Partial<Step> = {}): PlacementRequest {
+  const merged = { ...STEP, ...step };
+  return {
+    step: merged,
+    footprint: merged.request,
+    remoteFactor: 2,
+    stepRack: undefined,
+    countOn: () => 0,
+    failedOn: new Set(),
+  };
+}
+
+describe('the order of steps', () => {
+  it('puts what can still meet its objective before what cannot', () => {
+    const onTime = createUrgent({ leftMs: 1_200 });
+    const late = createUrgent({ leftMs: 900 });
+    assert.ok(compareUrgency(onTime, late) < 0);
+  });
+
+  it('puts persistent tasks first and what earns nothing any more last', () => {
+    const steps = [
+      createUrgent({ leftMs: -9_000, lateLeftMs: -1 }),
+      createUrgent(),
+      createUrgent({ isPersistent: true }),
+    ].sort(compareUrgency);
+    assert.deepEqual(
+      steps.map(({ isPersistent, leftMs }) => [isPersistent, leftMs]),
+      [
+        [true, 2_000],
+        [false, 2_000],
+        [false, -9_000],
+      ],
+    );
+  });
+
+  it('puts a team within its weight before one that sends beyond it', () => {
+    const within = createUrgent({ leftMs: 3_000 });
+    const beyond = createUrgent({ isWithinWeight: false, leftMs: 1_500 });
+    assert.ok(compareUrgency(within, beyond) < 0);
+  });
+});
+
+describe('placement', () => {
+  it('takes the target near the data before an emptier one on another rack', () => {
+    const near = createCandidate('near', { used: { cpuMillis: 3 * CORE, memoryMb: 0, gpus: 0 } });
+    const far = createCandidate('far', { rack: 'r2' });
+    assert.equal(chooseTarget(createRequest({ dataRack: 'r1' }), [far, near])?.id, 'near');
+  });
+
+  it('takes a sound target before a slow one', () => {
+    const slow = createCandidate('slow', { slowness: 4 });
+    const sound = createCandidate('sound', { used: { cpuMillis: 2 * CORE, memoryMb: 0, gpus: 0 } });
+    assert.equal(chooseTarget(createRequest(), [slow, sound])?.id, 'sound');
+  });
+
+  it('packs persistent tasks beside others, so that fewer VMs have to stay', () => {
+    const host = createCandidate('host', { hasPersistent: true });
+    const empty = createCandidate('empty');
+    assert.equal(chooseTarget(createRequest({ isPersistent: true }), [empty, host])?.id, 'host');
+    assert.equal(chooseTarget(createRequest(), [empty, host])?.id, 'empty');
+  });
+
+  it('finds none where the room is short of a single resource', () => {
+    const full = createCandidate('full', { used: { cpuMillis: 0, memoryMb: 3_950, gpus: 0 } });
+    assert.equal(chooseTarget(createRequest(), [full]), undefined);
+  });
+});
+
+describe('a cap', () => {
+  it('holds for each resource by itself; 0 is no limit', () => {
+    const cap = { cpuMillis: 2 * CORE, memoryMb: 0, gpus: 0 };
+    const running = { cpuMillis: CORE, memoryMb: 9_999, gpus: 8 };
+    assert.ok(isWithinCap(cap, running, STEP.request));
+    assert.equal(isWithinCap(cap, { ...running, cpuMillis: CORE + 1 }, STEP.request), false);
+  });
+});
+
+describe('health learned from ends', () => {
+  it('suspects a target on which different jobs fail, and not one job that always fails', () => {
+    const health = new TargetHealth();
+    health.recordFailure('poison', 0);
+    health.recordFailure('poison', 1);
+    assert.equal(health.isSuspect(2), false);
+    health.recordFailure('other', 2);
+    assert.ok(health.isSuspect(3));
+  });
+
+  it('trusts a target again after a success', () => {
+    const health = new TargetHealth();
+    health.recordFailure('a', 0);
+    health.recordFailure('b', 0);
+    health.recordSuccess(1);
+    assert.equal(health.isSuspect(1), false);
+  });
+});
+
+describe('durations', () => {
+  it('are learned against the estimates of each route', () => {
+    const durations = new DurationModel();
+    for (let run = 0; run < 50; run += 1) durations.record('checks', STEP, 2_000);
+    assert.ok(Math.abs(durations.getTaskMs('checks', STEP) - 2_000) < 50);
+    assert.equal(durations.getTaskMs('other', STEP), 1_000);
+  });
+});
+
+describe('arrivals of a burst', () => {
+  it('show the load that is coming before the queue is long', () => {
+    const meter = new ArrivalMeter();
+    for (let at = 0; at < 400; at += 50) meter.record({ at, cpuWork: 12_000_000, memoryWork: 0 });
+    assert.ok(meter.computeLoad(400).cpuMillis >= 200 * CORE);
+  });
+
+  it('are no burst when one large submission comes alone', () => {
+    const meter = new ArrivalMeter();
+    meter.record({ at: 0, cpuWork: 120_000_000, memoryWork: 0 });
+    assert.equal(meter.computeLoad(10).cpuMillis, 0);
+  });
+});
+
+describe('the weight of a team', () => {
+  it('lets a short burst pass and marks what is beyond it for longer', () => {
+    const meter = new WeightMeter();
+    const outcomes = Array.from({ length: 100 }, (_, index) =>
+      meter.record('kurzeme', 2, index * 100),
+    );
+    assert.ok(outcomes.slice(0, 10).every(Boolean));
+    const later = outcomes.slice(50).filter(Boolean).length;
+    assert.ok(later >= 8 && later <= 12, `${later} of 50 within a weight of 2 a second`);
+  });
+});
+
+describe('the pace of fillers', () => {
+  it('falls to nothing while a serving task stays over its target, and comes back slowly', () => {
+    let pace = 100;
+    const over = [{ tailMs: 150, targetMs: 100 }];
+    for (let change = 0; change < 5; change += 1) pace = decidePace(pace, over);
+    assert.equal(pace, 0);
+    assert.ok(decidePace(pace, [{ tailMs: 40, targetMs: 100 }]) < 50);
+  });
+
+  it('is left alone where the tail is well placed', () => {
+    assert.equal(decidePace(60, [{ tailMs: 70, targetMs: 100 }]), 60);
+  });
+});
