--- a/packages/execution/src/holds.ts
+++ b/packages/execution/src/holds.ts
@@ -3,7 +3,7 @@
 import type { TargetRecord } from './target-record.ts';
 
 /** Milliseconds for which a hold waits for an end: a quarter of a lease. */
-const HOLD_WAIT_MS = 1_000;
+const HOLD_WAIT_MS = 750;
 /** Milliseconds before a target that did not answer is asked again. */
 const SILENCE_PAUSE_MS = 300;
 /** Milliseconds between holds while ends can't be noted, since the answer comes at once then. */
--- a/packages/execution/src/orders.ts
+++ b/packages/execution/src/orders.ts
@@ -4,7 +4,7 @@
 import { CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 
 /** Milliseconds for which a start's deadline and a lease run: long enough for a take-over. */
-export const LEASE_MS = 4_000;
+export const LEASE_MS = 3_000;
 /** Milliseconds after which an unanswered stop is sent again. */
 const STOP_RETRY_MS = 400;
 /** Milliseconds for which a target that refused work gets none. */
--- a/packages/execution/src/settling.ts
+++ b/packages/execution/src/settling.ts
@@ -1,7 +1,7 @@
 import type { LeasedTarget, Term } from '@currantgap/ownership';
 
 /** Milliseconds in which a predecessor that still runs learns from some target that it is deposed. */
-const DEPOSED_NOTICE_MS = 1_200;
+const DEPOSED_NOTICE_MS = 1_000;
 
 /**
  * Says when work of an earlier term may start again. What a predecessor started is known once
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -11,11 +11,11 @@
 } from './rows.ts';
 
 /** Milliseconds without a renewal after which a contender takes over: four renewals. */
-export const LEASE_MS = 2_000;
+export const LEASE_MS = 1_200;
 /** Milliseconds between two renewals. */
-const RENEWAL_MS = 500;
-/** Milliseconds after a renewal in which an owner may order VMs: one renewal and its answer. */
-export const FRESH_MS = 800;
+const RENEWAL_MS = 300;
+/** Milliseconds after a renewal in which an owner may order VMs: two renewals and an answer. */
+export const FRESH_MS = 700;
 /** Milliseconds by which the store's clock must have passed a lease before it counts as gone. */
 const EXPIRY_MARGIN_MS = 100;
 /** Milliseconds before a failed call is repeated. */
