--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -30,8 +30,11 @@
   readonly failedOn: ReadonlySet<string>;
 }
 
-/** Weight of a target's load against its expected time: spreads tasks among equals. */
-const LOAD_WEIGHT = 0.5;
+/**
+ * Weight of a target's load against its expected time: among equals the fullest one is taken, so
+ * that others fall idle and their VMs can go where the next burst is.
+ */
+const PACKING_WEIGHT = 0.3;
 /**
  * Taken off for a persistent task beside others: fewer VMs then have to stay when a pool shrinks.
  */
@@ -76,5 +79,5 @@
   }
   if (step.isPersistent && candidate.hasPersistent) cost -= PACKING_BONUS;
   if (request.failedOn.has(candidate.id)) cost += FAILED_PENALTY;
-  return cost + LOAD_WEIGHT * computeLoad(candidate.capacity, candidate.used);
+  return cost - PACKING_WEIGHT * computeLoad(candidate.capacity, candidate.used);
 }
