fix(ingress): answer in time when the store is silent; features over separate processes

Tests: intake-writer (failed before: two of them never ended), nine scenarios of packages/features/platform.feature with nodes as processes: 9 passed.

--- a/packages/features/steps/world.ts
+++ b/packages/features/steps/world.ts
@@ -117,7 +117,7 @@
   }
 }
 
-function listCommand(): readonly string[] {
+export function listCommand(): readonly string[] {
   const binary = process.env.CURRANTGAP_BINARY;
   return binary === undefined ? [process.execPath, '../../dist/currantgap.cjs'] : [binary];
 }
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -12,7 +12,9 @@
 const MAXIMUM_TRANSACTIONS = 3;
 /** Milliseconds before a write without an answer is tried again. */
 const RETRY_MS = 100;
-/** Failures in a row after which writes are refused unsent. */
+/** Tries of a write that may have been done; after them the caller does better elsewhere. */
+const MAXIMUM_TRIES = 2;
+/** Refusals in a row after which writes are refused unsent; a missing answer is enough by itself. */
 const FAILURES_TO_BREAK = 2;
 /** Milliseconds for which writes are refused unsent; then one is let through as a probe. */
 const BREAK_MS = 500;
@@ -40,6 +42,7 @@
 interface PendingWrite extends IntakeWrite {
   /** A try of it got no answer, so it may be written later. */
   isUncertain: boolean;
+  tries: number;
   readonly resolve: (outcome: WriteOutcome) => void;
 }
 
@@ -65,13 +68,37 @@
 
   /** Writes a row; resolves when its fate is known or its deadline has passed. */
   async write(write: IntakeWrite): Promise<WriteOutcome> {
-    if (this.isBroken && performance.now() < this.#brokenUntil) return WriteOutcome.Refused;
+    if (this.isBroken && !this.#startProbe()) return WriteOutcome.Refused;
     return new Promise((resolve) => {
-      this.#pending.push({ ...write, isUncertain: false, resolve });
+      // The caller gets its answer in time, whatever the store does.
+      const timer = setTimeout(() => {
+        this.#expire(pending);
+      }, write.deadline - performance.now());
+      const finish = (outcome: WriteOutcome): void => {
+        clearTimeout(timer);
+        resolve(outcome);
+      };
+      const pending = { ...write, isUncertain: false, tries: 0, resolve: finish };
+      this.#pending.push(pending);
       this.#schedule();
     });
   }
 
+  /** Lets one write through after a break, to see whether the store is back. */
+  #startProbe(): boolean {
+    const now = performance.now();
+    if (now < this.#brokenUntil) return false;
+    this.#brokenUntil = now + BREAK_MS;
+    return true;
+  }
+
+  #expire(write: PendingWrite): void {
+    const position = this.#pending.indexOf(write);
+    if (position >= 0) this.#pending.splice(position, 1);
+    const isUnsent = position >= 0 && write.tries === 0;
+    write.resolve(isUnsent ? WriteOutcome.Refused : WriteOutcome.Unknown);
+  }
+
   #schedule(): void {
     if (this.#isGathering) return;
     this.#isGathering = true;
@@ -106,6 +133,7 @@
   }
 
   async #commit(batch: readonly PendingWrite[]): Promise<void> {
+    for (const write of batch) write.tries += 1;
     const result = await this.#store.commit({
       conditions: batch
         .filter(({ isNew }) => isNew)
@@ -131,11 +159,10 @@
     if (fault.kind === StoreFaultKind.Unknown) {
       for (const write of batch) write.isUncertain = true;
     }
-    const now = performance.now();
     const retried: PendingWrite[] = [];
     for (const write of batch) {
       if (!write.isUncertain) write.resolve(WriteOutcome.Refused);
-      else if (now + RETRY_MS >= write.deadline) write.resolve(WriteOutcome.Unknown);
+      else if (write.tries >= MAXIMUM_TRIES) write.resolve(WriteOutcome.Unknown);
       else retried.push(write);
     }
     if (retried.length === 0) return;
@@ -152,9 +179,10 @@
   }
 
   #recordFailure(fault: StoreFault): void {
-    this.#failures += 1;
+    const wasBroken = this.isBroken;
+    this.#failures += fault.kind === StoreFaultKind.Unknown ? FAILURES_TO_BREAK : 1;
     this.#brokenUntil = performance.now() + BREAK_MS;
-    if (this.#failures !== FAILURES_TO_BREAK) return;
+    if (wasBroken || this.#failures < FAILURES_TO_BREAK) return;
     this.#logger.writeWarning('store lost', { reason: fault.message, kind: fault.kind });
   }
 
--- a/packages/ingress/test/intake-writer.test.ts
+++ b/packages/ingress/test/intake-writer.test.ts
@@ -2,12 +2,31 @@
 import { describe, it } from 'node:test';
 import { IntakeWriter, WriteOutcome } from '@currantgap/ingress';
 import { MemoryStore, StoreTrouble } from '@currantgap/standins';
+import type { Transaction } from '@currantgap/store';
 import { Logger, setLogSink } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
 
 setLogSink(() => undefined);
 
 const LONG_MS = 60_000;
+const HANG_MS = 5_000;
+
+/** A store that answers nothing until the calls under way are given up. */
+class HangingStore extends MemoryStore {
+  #release: (() => void) | undefined;
+
+  override async commit(transaction: Transaction): ReturnType<MemoryStore['commit']> {
+    await new Promise<void>((resolve) => {
+      this.#release = resolve;
+    });
+    this.trouble = StoreTrouble.Silent;
+    return super.commit(transaction);
+  }
+
+  release(): void {
+    this.#release?.();
+  }
+}
 
 function createWriter(store: MemoryStore): (key: string, waitMs?: number) => Promise<WriteOutcome> {
   const writer = new IntakeWriter(store, new Logger());
@@ -64,6 +83,17 @@
     assert.equal(store.version, 1);
   });
 
+  it('is answered by its deadline when the store is silent, and others are refused at once', async () => {
+    const store = new HangingStore();
+    const write = createWriter(store);
+    const startedAt = performance.now();
+    assert.equal(await write('a', 200), WriteOutcome.Unknown);
+    assert.ok(performance.now() - startedAt < HANG_MS);
+    store.release();
+    await sleep(10);
+    assert.equal(await write('b'), WriteOutcome.Refused);
+  });
+
   it('does not wait for a store that has just failed again and again', async () => {
     const store = new MemoryStore();
     store.trouble = StoreTrouble.Down;
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -8,3 +8,4 @@
 export * from './target-server.ts';
 export * from './run-log.ts';
 export * from './memory-store.ts';
+export * from './platform/index.ts';
--- a/packages/store/src/follower.ts
+++ b/packages/store/src/follower.ts
@@ -1,8 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { readAll, StoreFaultKind, type Row, type Store, type StoreFault } from './store.ts';
 
-/** Milliseconds that a poll waits at the store when nothing changes. */
-const POLL_WAIT_MS = 10_000;
+/**
+ * Milliseconds that a poll waits at the store when nothing changes: short, since a connection that
+ * fell silent shows only when the answer is overdue, and a configuration is due within seconds.
+ */
+const POLL_WAIT_MS = 1_500;
 /** Milliseconds before a failed call is repeated; half of it is random so that callers spread. */
 const RETRY_PAUSE_MS = 200;
 
