--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,7 +4,9 @@
 import { EntryCommand, SettingsCheckCommand } from './entry-command.ts';
 import * as environment from './environment-commands.ts';
 import { ExitCode } from './exit-code.ts';
+import { ExplainCommand } from './explain-command.ts';
 import * as lists from './list-commands.ts';
+import { NodeCheckCommand, NodeCommand } from './node-command.ts';
 import { VERSION } from './version.ts';
 
 const COMMANDS: readonly CommandClass[] = [
@@ -27,6 +29,9 @@
   lists.DataCentreListCommand,
   lists.KeyListCommand,
   lists.MemberRemoveCommand,
+  NodeCommand,
+  NodeCheckCommand,
+  ExplainCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
--- /dev/null
+++ b/packages/cli/test/explain.test.ts
@@ -0,0 +1,34 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { buildStory, parseLines } from '../src/explain-command.ts';
+
+const LOG = `
+  1.2 edge-1 {"context":{"node":"n1","request":"aa","target":"t1"},"message":"start answered","time":200}
+{"context":{"node":"n2","request":"aa"},"message":"submission written","time":100}
+{"context":{"node":"n1","target":"t1"},"message":"target silent","time":250}
+{"context":{"node":"n1","target":"t2"},"message":"target silent","time":260}
+{"context":{"node":"n2"},"message":"ownership taken","time":300}
+{"context":{"node":"n1","request":"bb"},"message":"run ended","time":310}
+{"context":{"node":"n1","request":"aa","target":"t1"},"message":"run lost","time":400}
+{"context":{"node":"n2"},"message":"ownership taken","time":500}
+{"context":{"node":"n1","requ
+`;
+
+describe('the story of a request', () => {
+  it('has its lines of all nodes in order, with what befell its targets and the owner meanwhile', () => {
+    assert.deepEqual(
+      buildStory('aa', parseLines(LOG)).map(({ message, time }) => `${time} ${message}`),
+      [
+        '100 submission written',
+        '200 start answered',
+        '250 target silent',
+        '300 ownership taken',
+        '400 run lost',
+      ],
+    );
+  });
+
+  it('is empty for an id that no line names', () => {
+    assert.deepEqual(buildStory('cc', parseLines(LOG)), []);
+  });
+});
--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -1,5 +1,5 @@
 import type { Attempt, TaskRun } from '@currantgap/jobs';
-import { TargetState, type TargetEntry } from '@currantgap/model';
+import type { TargetEntry } from '@currantgap/model';
 import { ResourceSum } from '@currantgap/scheduling';
 import type { LeasedTarget } from '@currantgap/ownership';
 import { TargetRecord, type Assignment } from './target-record.ts';
@@ -95,11 +95,6 @@
       else if (target !== undefined) target.isSilenceWritten = true;
     }
   }
-
-  /** Tells whether a draining target is about to leave. */
-  isLeaving(target: TargetRecord): boolean {
-    return target.entry.state === TargetState.Draining;
-  }
 }
 
 function listTaskNames(target: TargetRecord): string[] {
--- a/packages/execution/src/orders.ts
+++ b/packages/execution/src/orders.ts
@@ -184,3 +184,8 @@
     atWorkSince: undefined,
   };
 }
+
+/** Tells whether it is still open what became of a start whose run was stopped. */
+export function isUncertain({ attempt }: Assignment): boolean {
+  return attempt.phase === AttemptPhase.Uncertain && attempt.stopAnsweredAt !== undefined;
+}
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,5 +1,5 @@
 import { AttemptPhase } from '@currantgap/jobs';
-import { JobState, type TargetEntry } from '@currantgap/model';
+import { JobState } from '@currantgap/model';
 import { OWNER_PART, type Term, type TermReport } from '@currantgap/ownership';
 import { DurationModel } from '@currantgap/scheduling';
 import { Follower, readAll, type Row, type Store } from '@currantgap/store';
@@ -16,15 +16,16 @@
 import { INTAKE_PART, INTAKE_TABLE, JobBook, type JobRecord } from './job-book.ts';
 import { Ledger, LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
-import { getLeaseMs, Orders } from './orders.ts';
+import { getLeaseMs, isUncertain, Orders } from './orders.ts';
 import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
 import { PoolArrivals } from './pool-arrivals.ts';
 import { HoldFault, StartOutcome, type AdvicePort, type TargetPort, type VmPort } from './ports.ts';
+import { RegistryReader, type Registry } from './registry-reader.ts';
 import { Reports } from './reports.ts';
 import { reportLoad } from './pool-load.ts';
 import { Settling } from './settling.ts';
-import { CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
+import { CLOCK_RATE } from './target-record.ts';
 import { VmWork } from './vm-work.ts';
 import { WAVE_TABLE, type EncodeWaveStatus } from './wave-keeper.ts';
 
@@ -43,12 +44,6 @@
 /** Milliseconds beyond a computed lapse before a run counts as gone. */
 const LAPSE_MARGIN_MS = 100;
 
-/** Where the registry lies and how its entries read. */
-export interface Registry {
-  readonly table: string;
-  readonly decode: (id: string, value: string) => TargetEntry | undefined;
-}
-
 /** Options of one term's owner. */
 export interface OwnerOptions {
   readonly term: Term;
@@ -77,6 +72,7 @@
   readonly #orders: Orders;
   readonly #reports: Reports;
   readonly #holds: Holds;
+  readonly #registry: RegistryReader;
   readonly #planner: Planner;
   readonly #advice: AdviceDesk;
   readonly #sweepers: readonly { sweep(): void }[];
@@ -96,6 +92,7 @@
     this.#orders = new Orders(this.#context);
     this.#reports = new Reports(this.#context, this.#orders);
     this.#holds = new Holds(this.#context);
+    this.#registry = new RegistryReader(this.#context, options.registry);
     this.#advice = new AdviceDesk(this.#context, options.advicePort);
     this.#planner = new Planner(this.#context, this.#orders, this.#advice);
     this.#sweepers = [
@@ -171,7 +168,8 @@
         this.#applyIntake(message.rows, message.isWhole);
         break;
       case 'registry':
-        this.#applyRegistry(message.rows, message.isWhole);
+        this.#registry.apply(message.rows, message.isWhole);
+        this.#holds.sendDue();
         break;
       case 'configured':
         this.#intake.refreshRoutes();
@@ -294,40 +292,6 @@
     this.#follow(this.#options.registry.table, '', REGISTRY_PAUSE_MS, 'registry');
   }
 
-  #applyRegistry(rows: readonly Row[], isWhole: boolean): void {
-    const { fleet, logger, settling } = this.#context;
-    if (isWhole) {
-      const present = new Set(rows.map((row) => row.key));
-      for (const target of [...fleet.targets]) {
-        if (!present.has(target.id)) fleet.unregister(target.id);
-      }
-    }
-    for (const row of rows) {
-      const entry = row.isDeleted ? undefined : this.#options.registry.decode(row.key, row.value);
-      if (entry === undefined) {
-        const target = fleet.unregister(row.key);
-        if (target !== undefined) logger.writeInfo('target unregistered', { target: row.key });
-        continue;
-      }
-      const known = fleet.find(entry.id);
-      const target = fleet.register(entry, isWhole ? settling.deadline : 0);
-      if (known === undefined && isWhole) settling.expect({ id: entry.id, service: entry.service });
-      if (known === undefined) this.#reportTarget(target);
-    }
-    this.#holds.sendDue();
-  }
-
-  #reportTarget(target: TargetRecord): void {
-    const { service, dataCentre, address } = target.entry;
-    this.#context.logger.writeInfo('target registered', {
-      target: target.id,
-      service,
-      dataCentre,
-      address,
-      rack: target.rack,
-    });
-  }
-
   #applyLooked({ target, report, sentAt }: OwnerMessage & { kind: 'looked' }): void {
     if (report.isErr()) return;
     const generation = this.#reports.apply(target, report.value, sentAt);
@@ -385,8 +349,3 @@
     }, PLAN_GATHER_MS);
   }
 }
-
-/** Tells whether it is still open what became of a start whose run was stopped. */
-function isUncertain({ attempt }: Assignment): boolean {
-  return attempt.phase === AttemptPhase.Uncertain && attempt.stopAnsweredAt !== undefined;
-}
