--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -154,11 +154,8 @@
   /** Counts a route's jobs of which no task has started; undefined before all are read. */
   countWaiting(route: string): number | undefined {
     if (!this.#isLoaded) return undefined;
-    let count = 0;
-    for (const { job } of this.#context.active.values()) {
-      if (job.stored.route === route && !job.hasStarted) count += 1;
-    }
-    return count;
+    const records = [...this.#context.active.values()];
+    return records.filter(({ job }) => job.stored.route === route && !job.hasStarted).length;
   }
 
   protected handle(message: OwnerMessage): void {
