--- a/packages/spec/src/plan.ts
+++ b/packages/spec/src/plan.ts
@@ -3,6 +3,8 @@
 import { FreshnessFault, type FreshnessBounds } from './freshness-state.ts';
 import { PermitSpecification } from './permit-spec.ts';
 import { PermitFault, type PermitBounds } from './permit-state.ts';
+import { TakeoverSpecification } from './takeover-spec.ts';
+import { TakeoverFault } from './takeover-state.ts';
 
 /** One exploration that a run makes. */
 export interface Check {
@@ -47,6 +49,7 @@
   return [
     ...freshness.map((bounds) => createFreshnessCheck(bounds, FreshnessFault.None)),
     ...permits.map((bounds) => createPermitCheck(bounds, PermitFault.None)),
+    ...Object.values(TakeoverFault).map(createTakeoverCheck),
     ...listSeededChecks(),
   ];
 }
@@ -73,6 +76,14 @@
   };
 }
 
+function createTakeoverCheck(fault: TakeoverFault): Check {
+  return {
+    specification: new TakeoverSpecification(fault),
+    bounds: 'one task, two targets, two owners',
+    isSeeded: fault !== TakeoverFault.None,
+  };
+}
+
 function createPermitCheck(bounds: PermitBounds, fault: PermitFault): Check {
   return {
     specification: new PermitSpecification(bounds, fault),
