fix(execution): an owner that may be deposed neither starts nor renews

Cause, from the logs: (1) the owner's data centre was cut off; it went on renewing and restarting on the targets it still reached while a successor, whose leases it took for lapsed, ran the same tasks. (2) A predecessor whose renewals were lost but whose feed went on started work that the successor had started as new. Change: with an unconfirmed lease, starts and renewals wait once targets have fallen silent too; new work waits until its pool has reported, or one second. Ruled out: tokens (each start was fenced where the new one was known). Tests: planner and settling, failing before.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -3,6 +3,7 @@
 import type { DurationModel } from '@currantgap/scheduling';
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
+import type { Caution } from './caution.ts';
 import type { Fleet } from './fleet.ts';
 import type { JobBook, JobRecord } from './job-book.ts';
 import type { Ledger } from './ledger.ts';
@@ -41,6 +42,7 @@
   readonly ledger: Ledger;
   readonly durations: DurationModel;
   readonly settling: Settling;
+  readonly caution: Caution;
   readonly getOperatorView: () => OperatorView;
   /** Sends a message to the owner's own task. */
   readonly post: (message: OwnerMessage) => void;
--- a/packages/execution/src/holds.ts
+++ b/packages/execution/src/holds.ts
@@ -81,7 +81,7 @@
   }
 
   #sendIfDue(target: TargetRecord): void {
-    const { clock, fleet, post, targetPort, term } = this.#context;
+    const { caution, clock, fleet, post, targetPort, term } = this.#context;
     const { now } = clock;
     if (target.isHolding || now < target.holdNotBefore) return;
     const unnoted = this.#unnoted.get(target.id);
@@ -97,7 +97,10 @@
       token: term.token,
       acknowledgedThrough: isKnown ? target.acknowledgedThrough : 0,
       // After a restart the target's clock began anew, so an old reading gives no deadline.
-      deadline: isKnown ? target.grantLease(getLeaseMs(this.#context.bounds), now) : undefined,
+      deadline:
+        isKnown && !caution.shouldWait()
+          ? target.grantLease(getLeaseMs(this.#context.bounds), now)
+          : undefined,
       waitMs: isKnown && unnoted === undefined ? HOLD_WAIT_MS : 0,
     };
     void targetPort.hold(target.address, order).then((report) => {
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -7,6 +7,7 @@
 import type { Logger } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { AdviceDesk } from './advice-desk.ts';
+import { Caution } from './caution.ts';
 import { Cleaner } from './cleaner.ts';
 import type { OwnerBounds, OwnerContext } from './context.ts';
 import { Drainer } from './drainer.ts';
@@ -60,6 +61,8 @@
   readonly vmPort: VmPort | undefined;
   /** Tells whether this node's lease was renewed just now. */
   readonly isCertain: () => boolean;
+  /** Tells whether the lease is renewed and so no other node can have taken over. */
+  readonly isConfirmed: () => boolean;
   readonly encodeWaveStatus: EncodeWaveStatus;
   /** Told once when another node has taken over. */
   readonly onDeposed: (reason: string) => void;
@@ -224,13 +227,15 @@
       },
     });
     const leaseMs = getLeaseMs(bounds) / CLOCK_RATE;
+    const fleet = new Fleet();
     return {
       term,
       clock,
       logger,
       bounds,
       targetPort,
-      fleet: new Fleet(),
+      fleet,
+      caution: new Caution(fleet, clock, this.#options.isConfirmed),
       jobs: new JobBook(logger),
       active: new Map<string, JobRecord>(),
       arrivals: new PoolArrivals(),
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -39,6 +39,7 @@
 
   /** Starts what can start now. */
   plan(): void {
+    if (this.#context.caution.shouldWait()) return;
     for (const [service, steps] of this.#listReadySteps()) {
       steps.sort(compareUrgency);
       const open = this.#listOpenTargets(service);
@@ -79,8 +80,9 @@
   #listWaiting(record: JobRecord, step: StepRun, now: number): TaskRun[] {
     const waiting = step.listWaiting(now);
     const service = record.route?.service;
-    if (!record.isInherited || service === undefined) return waiting;
     const { settling } = this.#context;
+    if (service === undefined) return waiting;
+    if (!record.isInherited) return settling.isClear(service, now) ? waiting : [];
     return waiting.filter((task) => settling.isSettled(task.name, service, now));
   }
 
--- a/packages/execution/src/settling.ts
+++ b/packages/execution/src/settling.ts
@@ -12,10 +12,13 @@
 export class Settling {
   readonly #awaited = new Map<string, LeasedTarget>();
   readonly #deadline: number;
+  /** Instant from which a predecessor that still runs knows that it is deposed. */
+  readonly #noticedAt: number;
 
   constructor(term: Term, leaseMs: number, now: number) {
     for (const target of term.predecessor?.targets ?? []) this.#awaited.set(target.id, target);
-    this.#deadline = now + leaseMs + DEPOSED_NOTICE_MS;
+    this.#noticedAt = now + DEPOSED_NOTICE_MS;
+    this.#deadline = this.#noticedAt + leaseMs;
   }
 
   /** Instant after which no lease from before this term can still run. */
@@ -43,6 +46,15 @@
     return true;
   }
 
+  /**
+   * Tells whether work that was accepted in this term may start: a predecessor that can still read
+   * learns of it too, until it knows that it is deposed, and starts it where the new token is unknown.
+   */
+  isClear(service: string, now: number): boolean {
+    if (now >= this.#noticedAt) return true;
+    return ![...this.#awaited.values()].some((target) => target.service === service);
+  }
+
   /** Lists the targets that have not reported yet; none once their leases cannot run any more. */
   listAwaited(now: number): readonly LeasedTarget[] {
     return now >= this.#deadline ? [] : [...this.#awaited.values()];
--- a/packages/execution/test/planner.test.ts
+++ b/packages/execution/test/planner.test.ts
@@ -94,11 +94,33 @@
     harness.addTarget('t1');
     harness.addJob(ID, [{}], true);
     harness.addJob('0000000000000002', [{}]);
+    assert.deepEqual(plan(harness), []);
+    harness.pass(1_000);
     assert.deepEqual(plan(harness), ['0000000000000002.0.0.0 on t1']);
     harness.context.settling.record('t9');
     assert.equal(plan(harness).length, 2);
   });
 
+  it('starts nothing while the lease is not renewed and targets have fallen silent as well', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    const lost = harness.addTarget('t2');
+    harness.addJob(ID, [{}]);
+    harness.isConfirmed = false;
+    lost.silences = 1;
+    assert.deepEqual(plan(harness), []);
+    harness.isConfirmed = true;
+    assert.equal(plan(harness).length, 1);
+  });
+
+  it('goes on with the store away while all targets answer under its token', () => {
+    const harness = new TermHarness();
+    harness.addTarget('t1');
+    harness.addJob(ID, [{}]);
+    harness.isConfirmed = false;
+    assert.equal(plan(harness).length, 1);
+  });
+
   it('numbers runs of a later epoch higher than those it never heard of', () => {
     const harness = new TermHarness();
     harness.addTarget('t1');
--- a/packages/execution/test/settling.test.ts
+++ b/packages/execution/test/settling.test.ts
@@ -21,6 +21,17 @@
   return new Settling(term, LEASE_MS, 0);
 }
 
+describe('work that was accepted in this term', () => {
+  it('waits until its pool has reported, or until a predecessor knows that it is deposed', () => {
+    const settling = createSettling([{ id: 't1', service: 'kartes' }]);
+    assert.equal(settling.isClear('kartes', 0), false);
+    assert.ok(settling.isClear('velves', 0));
+    assert.ok(settling.isClear('kartes', 1_000));
+    settling.record('t1');
+    assert.ok(settling.isClear('kartes', 0));
+  });
+});
+
 describe('work of an earlier term', () => {
   it('waits until each target of its pool has reported', () => {
     const settling = createSettling([{ id: 't1', service: 'kartes' }]);
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -16,6 +16,7 @@
 import { Logger, setLogSink } from '@currantgap/telemetry';
 import { err, type Result } from 'neverthrow';
 import type { OwnerContext } from '../src/context.ts';
+import { Caution } from '../src/caution.ts';
 import { Fleet } from '../src/fleet.ts';
 import { JobBook, type JobRecord } from '../src/job-book.ts';
 import { Ledger } from '../src/ledger.ts';
@@ -162,6 +163,8 @@
   readonly depositions: string[] = [];
   readonly written: number[] = [];
   readonly context: OwnerContext;
+  readonly fleet = new Fleet();
+  isConfirmed = true;
   evacuated = new Set<string>();
   configuration: Configuration;
 
@@ -192,7 +195,8 @@
         harmMs: 4_000,
       },
       targetPort: this.targets,
-      fleet: new Fleet(),
+      fleet: this.fleet,
+      caution: new Caution(this.fleet, this.clock, () => this.isConfirmed),
       jobs: new JobBook(logger),
       active: new Map<string, JobRecord>(),
       arrivals: new PoolArrivals(),
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -142,6 +142,7 @@
       vmPort: this.#createVmPort(),
       advicePort: this.#createAdvicePort(),
       isCertain: () => this.#ownership.isFresh,
+      isConfirmed: () => this.#ownership.isConfirmed,
       encodeWaveStatus: (wave, isComplete) => ({
         table: STATUS_TABLE,
         ...encodeWaveStatus(wave, isComplete),
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -109,6 +109,11 @@
     return this.#term !== undefined && performance.now() - this.#confirmedAt < FRESH_MS;
   }
 
+  /** Tells whether no other node can have taken over yet, as far as this node's clock says. */
+  get isConfirmed(): boolean {
+    return this.#term !== undefined && performance.now() - this.#confirmedAt < LEASE_MS;
+  }
+
   /** Watches or renews until it is stopped. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
