refactor: one empty step, the deadline header in platform/, lint against names of the wire

Cause: read as a newcomer: the same empty step stood four times, the header's name in node.ts, and nothing kept the platform's names from leaking.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,6 +5,10 @@
 import { listForbidden } from './tools/layers.js';
 import { verbsRule } from './tools/verbs-rule.js';
 
+/** Names of the platform's wire that only `platform/` and the stand-ins may use. */
+const WIRE_NAMES =
+  '^(row_version|fencing_token|acked_through|expected_revision|cold_remaining_ms|path_prefix|api_keys|target_latency_ms|est_ms|now_ms|deadline_ms|/api/.*)$';
+
 const packages = readdirSync(new URL('./packages', import.meta.url));
 
 const boundaries = packages.map((name) => ({
@@ -45,5 +49,22 @@
     files: ['packages/*/test/**/*.ts', 'platform/test/**/*.ts', 'packages/features/**/*.ts'],
     rules: { '@typescript-eslint/no-floating-promises': 'off', 'local/verbs': 'off' },
   },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    ignores: ['packages/standins/**'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: `Literal[value=/${WIRE_NAMES.replaceAll('/', '\\/')}/]`,
+          message: 'Only platform/ uses names of the wire.',
+        },
+        {
+          selector: `Property > Identifier.key[name=/${WIRE_NAMES.replaceAll('/', '\\/')}/]`,
+          message: 'Only platform/ uses names of the wire.',
+        },
+      ],
+    },
+  },
   ...boundaries,
 );
--- a/packages/execution/src/orders.ts
+++ b/packages/execution/src/orders.ts
@@ -109,7 +109,7 @@
         if (attempt.phase === AttemptPhase.Starting) attempt.phase = AttemptPhase.Uncertain;
         return;
       case StartOutcome.Fenced:
-        this.#withdraw(target, assignment);
+        this.#context.fleet.unassign(target, assignment);
         this.#context.depose(`target ${target.id} has seen a higher token`);
         return;
       case StartOutcome.OtherLifetime:
@@ -129,7 +129,7 @@
       case StartOutcome.TicketInvalid:
         break;
     }
-    this.#withdraw(target, assignment);
+    this.#context.fleet.unassign(target, assignment);
   }
 
   /** Applies the answer to a stop. */
@@ -154,10 +154,6 @@
       post({ kind: 'stopped', target, assignment, outcome });
     });
   }
-
-  #withdraw(target: TargetRecord, assignment: Assignment): void {
-    this.#context.fleet.unassign(target, assignment);
-  }
 }
 
 /** Creates a run as it is first known. */
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -1,4 +1,4 @@
-import type { Job } from '@currantgap/jobs';
+import { EMPTY_STEP, type Job } from '@currantgap/jobs';
 import {
   TargetState,
   type Configuration,
@@ -45,22 +45,10 @@
 export const LEASE_MS = 4_000;
 
 export const STEP: Step = {
+  ...EMPTY_STEP,
   count: 1,
   request: { cpuMillis: CORE, memoryMb: 1_024, gpus: 0 },
   estimatedMs: 1_000,
-  after: [],
-  isCheckpointing: false,
-  isGang: false,
-  isSameRack: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  antiAffinity: 0,
-  allowsDuplicates: false,
-  isPersistent: false,
-  image: undefined,
-  latencyTargetMs: 0,
-  isFiller: false,
-  disruptionBudget: 0,
 };
 
 export const ROUTE: Route = {
--- a/packages/jobs/src/stored-job.ts
+++ b/packages/jobs/src/stored-job.ts
@@ -3,7 +3,8 @@
 /** A step without what is empty, as it is stored. */
 type CompactStep = Partial<Step> & Pick<Step, 'count' | 'request'>;
 
-const EMPTY_STEP: Omit<Step, 'count' | 'request'> = {
+/** A step without anything but its tasks and what they ask for. */
+export const EMPTY_STEP: Omit<Step, 'count' | 'request'> = {
   estimatedMs: 0,
   after: [],
   isCheckpointing: false,
--- a/packages/jobs/test/job.test.ts
+++ b/packages/jobs/test/job.test.ts
@@ -4,6 +4,7 @@
   applyLedgerRow,
   computeChain,
   decodeStoredJob,
+  EMPTY_STEP,
   encodeLedgerRow,
   encodeStoredJob,
   EndEffect,
@@ -13,22 +14,10 @@
 import { EndKind, JobState, type Step, type StoredJob, type Submission } from '@currantgap/model';
 
 const STEP: Step = {
+  ...EMPTY_STEP,
   count: 2,
   request: { cpuMillis: 1_000, memoryMb: 512, gpus: 0 },
   estimatedMs: 800,
-  after: [],
-  isCheckpointing: false,
-  isGang: false,
-  isSameRack: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  antiAffinity: 0,
-  allowsDuplicates: false,
-  isPersistent: false,
-  image: undefined,
-  latencyTargetMs: 0,
-  isFiller: false,
-  disruptionBudget: 0,
 };
 
 function createStored(
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -3,6 +3,7 @@
 import { describeError } from '@currantgap/model';
 import { Ownership, OwnershipListener, type Term, type TermReport } from '@currantgap/ownership';
 import {
+  DEADLINE_HEADER,
   decodeSubmission,
   decodeTargetEntry,
   encodeWaveStatus,
@@ -29,7 +30,6 @@
 const STORE_CONNECTIONS = 48;
 /** Connections to one target: its hold, and few orders side by side, since new ones are paid for. */
 const TARGET_CONNECTIONS = 5;
-const DEADLINE_HEADER = 'x-deadline-ms';
 /** Most milliseconds that a contender waits beyond a lapsed lease, so that few collide. */
 const MAXIMUM_PATIENCE_MS = 250;
 /** Milliseconds of service after SIGTERM: the balancer looks each second and needs two misses. */
--- a/packages/scheduling/test/decisions.test.ts
+++ b/packages/scheduling/test/decisions.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { EMPTY_STEP } from '@currantgap/jobs';
 import type { Step } from '@currantgap/model';
 import {
   ArrivalMeter,
@@ -17,22 +18,10 @@
 
 const CORE = 1_000;
 const STEP: Step = {
+  ...EMPTY_STEP,
   count: 1,
   request: { cpuMillis: CORE, memoryMb: 100, gpus: 0 },
   estimatedMs: 1_000,
-  after: [],
-  isCheckpointing: false,
-  isGang: false,
-  isSameRack: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  antiAffinity: 0,
-  allowsDuplicates: false,
-  isPersistent: false,
-  image: undefined,
-  latencyTargetMs: 0,
-  isFiller: false,
-  disruptionBudget: 0,
 };
 
 function createUrgent(changes: Partial<Urgent> = {}): Urgent {
