--- a/packages/standins/src/platform/deployment.ts
+++ b/packages/standins/src/platform/deployment.ts
@@ -62,7 +62,7 @@
     this.#options = options;
   }
 
-  /** Starts all and waits until a node is ready. */
+  /** Starts all and waits until every node is ready and one of them owns the fleet. */
   async start(): Promise<void> {
     const storeAddress = await this.storeServer.listen();
     const { store } = this.storeServer;
@@ -90,6 +90,7 @@
       node.start();
     }
     for (const node of this.nodes) while (!(await this.isReady(node))) await sleep(LOOK_MS);
+    while (this.findOwner() === undefined) await sleep(LOOK_MS);
   }
 
   /** Ends all that this object started. */
