fix(execution): a new target gets work only once the lease row names it

Cause: a VM that had just moved registered between a successor's read of the registry and the predecessor's last look at its feed; the predecessor, whose renewals were lost, started tasks there, and the successor, which did not know the target, started them elsewhere. Change: a target is open for work once a written renewal has named it; the row names all registered targets. Ruled out: the settling of known targets (all had reported), the ledger. Test: planner, failing before.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -75,11 +75,11 @@
     return created;
   }
 
-  /** Lists the targets on which a lease may still run, with the tasks of those that are silent. */
+  /** Lists the targets that may run something, with the tasks of those that are silent. */
   listLeased(now: number): LeasedTarget[] {
     const leased: LeasedTarget[] = [];
     for (const target of this.#targets.values()) {
-      if (target.lapsesAt <= now) continue;
+      if (!target.isRegistered && target.lapsesAt <= now) continue;
       const { id, entry } = target;
       if (target.silences === 0) leased.push({ id, service: entry.service });
       else leased.push({ id, service: entry.service, tasks: listTaskNames(target) });
@@ -87,12 +87,13 @@
     return leased;
   }
 
-  /** A renewal was written: targets that it did not call silent may get work again. */
+  /** A renewal was written: the targets that it named, and did not call silent, may get work. */
   openWritten(written: readonly LeasedTarget[]): void {
     for (const { id, tasks } of written) {
       const target = this.#targets.get(id);
-      if (target !== undefined && tasks === undefined) target.isSilenceWritten = false;
-      else if (target !== undefined) target.isSilenceWritten = true;
+      if (target === undefined) continue;
+      target.isListed = true;
+      target.isSilenceWritten = tasks !== undefined;
     }
   }
 }
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -32,6 +32,8 @@
   holdNotBefore = 0;
   /** Calls without an answer since the last report. */
   silences = 0;
+  /** The lease row names it, so a successor asks it what runs there before it starts that work. */
+  isListed = false;
   /** The lease row calls it silent, so a successor would not look for new tasks there. */
   isSilenceWritten = false;
   /** Gets no new work before this instant. */
@@ -109,6 +111,7 @@
       this.entry.state === TargetState.Ready &&
       !this.isClosing &&
       this.silences === 0 &&
+      this.isListed &&
       !this.isSilenceWritten &&
       now >= this.blockedUntil &&
       !this.health.isSuspect(now)
--- a/packages/execution/test/planner.test.ts
+++ b/packages/execution/test/planner.test.ts
@@ -113,6 +113,16 @@
     assert.equal(plan(harness).length, 1);
   });
 
+  it('starts nothing on a new target before the lease row names it to a successor', () => {
+    const harness = new TermHarness();
+    const target = harness.addTarget('t1');
+    target.isListed = false;
+    harness.addJob(ID, [{}]);
+    assert.deepEqual(plan(harness), []);
+    harness.fleet.openWritten(harness.fleet.listLeased(harness.now));
+    assert.equal(plan(harness).length, 1);
+  });
+
   it('goes on with the store away while all targets answer under its token', () => {
     const harness = new TermHarness();
     harness.addTarget('t1');
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -244,6 +244,7 @@
     const target = this.context.fleet.register(createTarget(id, changes), 0);
     target.readClock(100, this.now);
     target.reportedAt = this.now;
+    target.isListed = true;
     return target;
   }
 }
