--- a/packages/execution/src/holds.ts
+++ b/packages/execution/src/holds.ts
@@ -33,18 +33,17 @@
 
   /** Records which ledger generation must be written before the ends seen so far are noted. */
   recordEnds(target: TargetRecord, generation: number): void {
-    if (target.seenThrough > target.acknowledgedThrough) {
-      if (generation <= this.#writtenThrough && !this.#unnoted.has(target.id)) {
-        target.acknowledgedThrough = target.seenThrough;
-      } else {
-        const known = this.#unnoted.get(target.id)?.generation ?? 0;
-        this.#unnoted.set(target.id, {
-          generation: Math.max(known, generation),
-          through: target.seenThrough,
-          retryAt: this.#context.clock.now + UNNOTED_PAUSE_MS,
-        });
-      }
+    if (target.seenThrough <= target.acknowledgedThrough) return;
+    const known = this.#unnoted.get(target.id);
+    if (known === undefined && generation <= this.#writtenThrough) {
+      target.acknowledgedThrough = target.seenThrough;
+      return;
     }
+    this.#unnoted.set(target.id, {
+      generation: Math.max(known?.generation ?? 0, generation),
+      through: target.seenThrough,
+      retryAt: this.#context.clock.now + UNNOTED_PAUSE_MS,
+    });
   }
 
   /** Notes the ends that a written generation covers. */
--- a/packages/execution/src/job-book.ts
+++ b/packages/execution/src/job-book.ts
@@ -1,5 +1,5 @@
 import { applyLedgerRow, decodeStoredJob, Job } from '@currantgap/jobs';
-import { describeError, type Route, type Step } from '@currantgap/model';
+import { describeError, type Route } from '@currantgap/model';
 import type { Row } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 
@@ -91,7 +91,7 @@
   }
 }
 
-/** Gets the index of the step in a task's name, which is ID.K.STEP.INDEX. */
+/** Parses a task's name, which is ID.K.STEP.INDEX; undefined where it is none. */
 export function parseTaskName(
   name: string,
 ): { id: string; occurrence: number; step: number; index: number } | undefined {
@@ -103,8 +103,3 @@
   if (![occurrence, step, index].every((number) => Number.isInteger(number))) return undefined;
   return { id, occurrence, step, index };
 }
-
-/** Tells whether the task of a step can be owed a place beside others while it waits. */
-export function isServing(step: Step): boolean {
-  return step.isPersistent && step.latencyTargetMs > 0;
-}
--- a/packages/execution/src/orders.ts
+++ b/packages/execution/src/orders.ts
@@ -171,13 +171,11 @@
     startedAt: now,
     expiresAt: now,
     percent: 0,
-    progressedAt: now,
     reading: 0,
     pace: 100,
     settledAt: now,
     stopRetryAt: 0,
     stopAnsweredAt: undefined,
-    atWorkSince: undefined,
   };
 }
 
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -24,7 +24,7 @@
 import { HoldFault, StartOutcome, type AdvicePort, type TargetPort, type VmPort } from './ports.ts';
 import { RegistryReader, type Registry } from './registry-reader.ts';
 import { Reports } from './reports.ts';
-import { reportLoad } from './pool-load.ts';
+import { LoadReporter } from './pool-load.ts';
 import { Settling } from './settling.ts';
 import { CLOCK_RATE } from './target-record.ts';
 import { VmWork } from './vm-work.ts';
@@ -40,8 +40,6 @@
 const REGISTRY_PAUSE_MS = 150;
 /** Milliseconds before a read that failed at the start of a term is tried again. */
 const READ_RETRY_MS = 150;
-/** Milliseconds between log lines on the load of each pool. */
-const LOAD_PERIOD_MS = 2_000;
 /** Milliseconds beyond a computed lapse before a run counts as gone. */
 const LAPSE_MARGIN_MS = 100;
 
@@ -83,7 +81,6 @@
   readonly #intake: Intake;
   readonly #followers: Follower[] = [];
   #ticker: NodeJS.Timeout | undefined;
-  #loadReportedAt = 0;
   #isPlanDue = false;
   #isLoaded = false;
   #isEnded = false;
@@ -102,6 +99,7 @@
       new Drainer(this.#context, this.#orders),
       new Pacer(this.#context),
       new Cleaner(this.#context, options.store),
+      new LoadReporter(this.#context),
     ];
     this.#intake = new Intake(this.#context, this.#orders, this.#reports);
     this.#vmWork = this.#buildVmWork();
@@ -338,9 +336,6 @@
     this.#holds.sendDue();
     this.#vmWork?.sweep();
     for (const sweeper of this.#sweepers) sweeper.sweep();
-    if (now < this.#loadReportedAt + LOAD_PERIOD_MS) return;
-    this.#loadReportedAt = now;
-    reportLoad(this.#context);
   }
 
   #schedulePlan(): void {
--- a/packages/execution/src/pool-load.ts
+++ b/packages/execution/src/pool-load.ts
@@ -2,6 +2,9 @@
 import { getFootprint, ResourceSum } from '@currantgap/scheduling';
 import { getWallNow, type OwnerContext } from './context.ts';
 
+/** Milliseconds between log lines on the load of each pool. */
+const PERIOD_MS = 2_000;
+
 /** Capacity of a pool, what is reserved of it and what waits for it. */
 export interface PoolLoad {
   readonly service: string;
@@ -55,8 +58,25 @@
   }
 }
 
-/** Writes one line a pool. */
-export function reportLoad(context: OwnerContext): void {
+/** Writes the load of each pool now and then. */
+export class LoadReporter {
+  readonly #context: OwnerContext;
+  #reportedAt = 0;
+
+  constructor(context: OwnerContext) {
+    this.#context = context;
+  }
+
+  /** Writes one line a pool, if it is time to. */
+  sweep(): void {
+    const { now } = this.#context.clock;
+    if (now < this.#reportedAt + PERIOD_MS) return;
+    this.#reportedAt = now;
+    reportLoad(this.#context);
+  }
+}
+
+function reportLoad(context: OwnerContext): void {
   for (const load of computePoolLoads(context).values()) {
     context.logger.writeInfo('pool load', {
       service: load.service,
--- a/packages/execution/src/reports.ts
+++ b/packages/execution/src/reports.ts
@@ -6,7 +6,8 @@
 import type { EndedRun, RunningRun, TargetReport } from './ports.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
 
-const AT_WORK_PERCENT = 100;
+/** Percent at which a filler works when nothing was ordered. */
+const FULL_PACE = 100;
 
 /** Applies what targets report: runs that go on, runs that ended and runs that are not there. */
 export class Reports {
@@ -66,22 +67,17 @@
       });
       target.seenThrough = 0;
       target.acknowledgedThrough = 0;
-      target.pace = AT_WORK_PERCENT;
+      target.pace = FULL_PACE;
     }
     target.bornAt = report.bornAt;
   }
 
   #applyRunning(target: TargetRecord, running: RunningRun): Assignment | undefined {
-    const { clock } = this.#context;
     const assignment = target.find(running.task, running.run) ?? this.#adopt(target, running);
     if (assignment === undefined) return undefined;
     const { attempt, task } = assignment;
-    if (running.percent > attempt.percent) attempt.progressedAt = clock.now;
     attempt.percent = running.percent;
     attempt.reading = running.reading;
-    const isAtWork = running.percent >= AT_WORK_PERCENT;
-    if (isAtWork) attempt.atWorkSince ??= clock.now;
-    else attempt.atWorkSince = undefined;
     if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
     if (attempt.phase === AttemptPhase.Starting || attempt.phase === AttemptPhase.Uncertain) {
       attempt.phase = AttemptPhase.Running;
--- a/packages/jobs/src/chain.ts
+++ b/packages/jobs/src/chain.ts
@@ -1,5 +1,4 @@
 import type { Step } from '@currantgap/model';
-import type { Job } from './job.ts';
 import type { Occurrence } from './occurrence.ts';
 
 /** Computes the longest chain of steps in milliseconds, given what one task of a step takes. */
@@ -36,14 +35,3 @@
   }
   return Math.max(0, ...ends);
 }
-
-/** Sums the work of a job that can end, in core-milliseconds. */
-export function computeWork(job: Job): number {
-  let work = 0;
-  for (const step of job.stored.submission.steps) {
-    work += step.count * step.estimatedMs * step.request.cpuMillis;
-  }
-  return work / MILLIS_PER_CORE;
-}
-
-const MILLIS_PER_CORE = 1_000;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -25,8 +25,6 @@
   expiresAt: number;
   /** 100 when a persistent task is at work; progress of others. */
   percent: number;
-  /** Instant at which `percent` last rose. */
-  progressedAt: number;
   /** Tail latency of a serving task in milliseconds, thousandths of a core of any other. */
   reading: number;
   /** Share of its speed that a filler was last told to use, 0 to 100. */
@@ -37,8 +35,6 @@
   stopRetryAt: number;
   /** Instant at which a stop was answered: the run can't begin any more. */
   stopAnsweredAt: number | undefined;
-  /** Instant since which a persistent task has been at work without pause. */
-  atWorkSince: number | undefined;
 }
 
 /** One task and what is known of its runs. */
--- a/packages/scheduling/src/health.ts
+++ b/packages/scheduling/src/health.ts
@@ -4,8 +4,6 @@
 const PROBATION_MS = 4_000;
 /** Share of a new observation in a target's slowness. */
 const SMOOTHING = 0.3;
-/** Slowness beyond which a target gets work only when no other has room. */
-const SLOW_FACTOR = 2;
 /** Jobs of the latest failures that are kept. */
 const FAILED_JOBS_KEPT = 8;
 
@@ -33,17 +31,8 @@
     if (this.#failedJobs.size >= SUSPECT_FAILURES) this.#suspectUntil = now + PROBATION_MS;
   }
 
-  /** Records that a run here makes no progress. */
-  recordStall(now: number): void {
-    this.#suspectUntil = now + PROBATION_MS;
-  }
-
   /** Tells whether the target should get no work now. */
   isSuspect(now: number): boolean {
     return now < this.#suspectUntil;
   }
-
-  get isSlow(): boolean {
-    return this.#slowness > SLOW_FACTOR;
-  }
 }
