fix(jobs): count a failed run once, though a successor reads its end again

Cause: the ledger kept the number of failures of a task. An owner counts a failed end, writes it, and is replaced before it acknowledges the end to the target; its successor reads the end again and counts it again. Change: the ledger keeps the numbers of the failed runs; a run counts once. Conclusion: what is counted from repeated reports needs an identity.

--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -110,8 +110,9 @@
     const { isPersistent } = task.step.definition;
     if (kind === EndKind.Done && !isPersistent) return this.#finishTask(task);
     if (!isFailure(kind) || isPersistent) return EndEffect.Retry;
+    task.step.recordFailure(task, run);
     this.isDirty = true;
-    if (task.step.recordFailure(task, run) < maximumAttempts) return EndEffect.Retry;
+    if (task.failures < maximumAttempts) return EndEffect.Retry;
     this.state = JobState.Failed;
     return EndEffect.JobFailed;
   }
--- a/packages/jobs/src/ledger-row.ts
+++ b/packages/jobs/src/ledger-row.ts
@@ -5,7 +5,8 @@
 interface OccurrenceRow {
   /** Done tasks of each step as a bit set in hexadecimal. */
   readonly done: readonly string[];
-  readonly failures?: Readonly<Record<string, number>>;
+  /** Numbers of the runs that failed. */
+  readonly failedRuns?: Readonly<Record<string, readonly number[]>>;
   readonly checkpoints?: Readonly<Record<string, string>>;
 }
 
@@ -17,7 +18,7 @@
   readonly open?: Readonly<Record<string, OccurrenceRow>>;
 }
 
-/** Encodes what must survive the owner: done tasks, failures, checkpoints and the state. */
+/** Encodes what must survive the owner: done tasks, failed runs, checkpoints and the state. */
 export function encodeLedgerRow(job: Job): string {
   const row: LedgerRow = {
     state: job.state,
@@ -48,18 +49,18 @@
 function encodeOpen(job: Job): Record<string, OccurrenceRow> {
   const open: Record<string, OccurrenceRow> = {};
   for (const occurrence of job.occurrences.values()) {
-    const failures: Record<string, number> = {};
+    const failedRuns: Record<string, readonly number[]> = {};
     const checkpoints: Record<string, string> = {};
     for (const step of occurrence.steps) {
       for (const task of step.tasks) {
         const place = `${step.index}.${task.index}`;
-        if (task.failures > 0) failures[place] = task.failures;
+        if (task.failures > 0 && !task.isDone) failedRuns[place] = [...task.failedRuns];
         if (task.checkpoint !== '' && !task.isDone) checkpoints[place] = task.checkpoint;
       }
     }
     open[String(occurrence.number)] = {
       done: occurrence.steps.map((step) => encodeBits(step.tasks.map((task) => task.isDone))),
-      ...(Object.keys(failures).length > 0 ? { failures } : {}),
+      ...(Object.keys(failedRuns).length > 0 ? { failedRuns } : {}),
       ...(Object.keys(checkpoints).length > 0 ? { checkpoints } : {}),
     };
   }
@@ -72,7 +73,7 @@
     const bits = BigInt(`0x${row.done[step.index] ?? '0'}`);
     for (const task of step.tasks) {
       const place = `${step.index}.${task.index}`;
-      task.failures = row.failures?.[place] ?? 0;
+      for (const run of row.failedRuns?.[place] ?? []) task.failedRuns.add(run);
       task.checkpoint = row.checkpoints?.[place] ?? '';
       if (((bits >> BigInt(task.index)) & 1n) === 0n || task.isDone) continue;
       task.isDone = true;
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -11,8 +11,6 @@
   /** ID.K.STEP */
   readonly name: string;
   readonly tasks: readonly TaskRun[];
-  /** Runs of a gang that failed; each counts once, whatever its members. */
-  readonly failedGangRuns = new Set<number>();
   openTasks: number;
   /** Starts ordered in this term; the next run number comes from it. */
   starts = 0;
@@ -61,15 +59,9 @@
     return isNews;
   }
 
-  /** Counts a failed run of a task, or of the gang as a whole, and returns the failures so far. */
-  recordFailure(task: TaskRun, run: number): number {
-    if (!this.definition.isGang) {
-      task.failures += 1;
-      return task.failures;
-    }
-    this.failedGangRuns.add(run);
-    const failures = Math.max(task.failures, this.failedGangRuns.size);
-    for (const member of this.tasks) member.failures = failures;
-    return failures;
+  /** Records a failed run of a task, or of the gang as a whole; it counts once. */
+  recordFailure(task: TaskRun, run: number): void {
+    const failed = this.definition.isGang ? this.tasks : [task];
+    for (const member of failed) member.failedRuns.add(run);
   }
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -45,7 +45,8 @@
   readonly name: string;
   readonly attempts: Attempt[] = [];
   isDone = false;
-  failures = 0;
+  /** Runs that failed: a successor reads ends again that its predecessor has counted. */
+  readonly failedRuns = new Set<number>();
   checkpoint = '';
   /** Not started before this instant. */
   notBefore = 0;
@@ -60,6 +61,11 @@
     this.name = `${step.name}.${index}`;
   }
 
+  /** Attempts that are used up. */
+  get failures(): number {
+    return this.failedRuns.size;
+  }
+
   get isActive(): boolean {
     return this.attempts.length > 0;
   }
--- a/packages/jobs/test/job.test.ts
+++ b/packages/jobs/test/job.test.ts
@@ -79,6 +79,22 @@
     assert.equal(job.state, JobState.Failed);
   });
 
+  it('counts a failed run once, though a successor reads the same end again', () => {
+    const stored = createStored([{}, { isGang: true }]);
+    const job = new Job(stored);
+    job.applyEnd(getTask(job, 0, 0), 20_001, EndKind.Failed, 3);
+    job.applyEnd(getTask(job, 1, 0), 20_001, EndKind.Failed, 3);
+    const successor = new Job(stored);
+    applyLedgerRow(successor, encodeLedgerRow(job));
+    for (const step of [0, 1]) {
+      const task = getTask(successor, step, 0);
+      assert.equal(successor.applyEnd(task, 20_001, EndKind.Failed, 3), EndEffect.Retry);
+      assert.equal(task.failures, 1);
+      assert.equal(successor.applyEnd(task, 20_007, EndKind.Failed, 3), EndEffect.Retry);
+      assert.equal(task.failures, 2);
+    }
+  });
+
   it('counts a failed gang once, whatever its members, and a done one as a whole', () => {
     const job = new Job(createStored([{ isGang: true }]));
     job.applyEnd(getTask(job, 0, 0), 1, EndKind.Failed, 2);
