fix(ownership): renew with tries that overlap, so lost answers do not change the owner

Cause: a renewal whose answer was lost was given up after 800 ms, tried 300 ms later, met its own earlier write as a conflict and was tried another 300 ms later: 1.7 s, more than the lease of 1.2 s. Ruled out: contenders that take over too early (each had seen the row unchanged for the whole lease). Change: a try every 180 ms until one is settled; a conflict that shows what one of the tries wrote is that try's answer; a stale write that arrived late is renewed over at once. Code in a file of its own. The stand-in loses the answers of writes only, as a refused condition writes nothing; it can keep its client waiting.

--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Logger } from '@currantgap/telemetry';
-import { StoreFaultKind, type Row, type Store, type StoreFault } from '@currantgap/store';
+import { StoreFaultKind, type Store, type StoreFault } from '@currantgap/store';
+import { putLease, Renewal, RenewalOutcome, type RenewalResult } from './renewal.ts';
 import {
   decodeLease,
   encodeLease,
@@ -137,7 +138,12 @@
     if (term === undefined) return;
     this.drop('released');
     const lease = { ...this.#buildLease(term.epoch), isReleased: true, successor };
-    const result = await this.#putLease(term, lease);
+    const { store } = this.#options;
+    const { fenceVersion } = term;
+    const result = await putLease(
+      { store, fenceVersion, version: this.#leaseVersion },
+      encodeLease(lease),
+    );
     this.#options.logger.writeInfo('ownership released', {
       epoch: term.epoch,
       successor: successor ?? '',
@@ -289,48 +295,39 @@
   async #renew(term: Term): Promise<void> {
     await sleep(RENEWAL_MS);
     if (this.#term !== term) return;
-    const sentAt = performance.now();
-    const lease = this.#buildLease(term.epoch);
-    const result = await this.#putLease(term, lease);
-    if (this.#term !== term) return;
-    if (result.isOk()) {
-      this.#leaseVersion = result.value;
-      this.#confirmedAt = sentAt;
-      this.#options.listener.handleRenewed(lease);
-      if (this.#isFailing) this.#options.logger.writeInfo('lease renewed again');
-      this.#isFailing = false;
-      return;
+    let result = await this.#sendRenewal(term);
+    // The lease runs on: what an earlier renewal wrote late is renewed at once.
+    while (result.outcome === RenewalOutcome.Overtaken) {
+      this.#leaseVersion = result.version;
+      result = await this.#sendRenewal(term);
     }
-    if (result.error.kind === StoreFaultKind.Conflict) {
-      this.#resolveConflict(term, result.error.rows);
-      return;
-    }
-    if (!this.#isFailing) {
-      this.#options.logger.writeWarning('lease not renewed', { reason: result.error.message });
-    }
-    this.#isFailing = true;
-  }
-
-  /** A conflict is either a take-over or an earlier renewal of our own that arrived late. */
-  #resolveConflict(term: Term, rows: readonly Row[]): void {
-    const fence = rows.find((row) => row.table === FENCE_ROW.table);
-    const lease = rows.find((row) => row.table === LEASE_ROW.table);
-    if (fence?.version === term.fenceVersion && lease !== undefined) {
-      this.#leaseVersion = lease.version;
+    if (this.#term !== term) return;
+    if (result.outcome === RenewalOutcome.TakenOver) {
+      this.drop('another node took over');
       return;
     }
-    this.drop('another node took over');
+    if (result.lease === undefined) return;
+    this.#leaseVersion = result.version;
+    this.#confirmedAt = result.sentAt;
+    this.#options.listener.handleRenewed(result.lease);
+    if (this.#isFailing) this.#options.logger.writeInfo('lease renewed again');
+    this.#isFailing = false;
   }
 
-  #putLease(term: Term, lease: LeaseRow): ReturnType<Store['commit']> {
-    return this.#options.store.commit({
-      conditions: [
-        { ...FENCE_ROW, version: term.fenceVersion },
-        { ...LEASE_ROW, version: this.#leaseVersion },
-      ],
-      puts: [{ ...LEASE_ROW, value: encodeLease(lease) }],
-      removals: [],
+  async #sendRenewal(term: Term): Promise<RenewalResult> {
+    const renewal = new Renewal({
+      store: this.#options.store,
+      fenceVersion: term.fenceVersion,
+      version: this.#leaseVersion,
+      buildLease: () => this.#buildLease(term.epoch),
+      isWanted: () => this.#term === term,
+      onFault: ({ message }) => {
+        if (this.#term !== term || this.#isFailing) return;
+        this.#options.logger.writeWarning('lease not renewed', { reason: message });
+        this.#isFailing = true;
+      },
     });
+    return renewal.run();
   }
 
   #buildLease(epoch: number): LeaseRow {
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -137,6 +137,44 @@
     await owner.ownership.release(undefined);
   });
 
+  it('is kept by an owner whose renewals are written and get no answer for longer than a lease', async () => {
+    const store = new MemoryStore();
+    const owner = new Contender(store, 'a');
+    await waitUntil(() => owner.isOwner);
+    const other = new Contender(store, 'b');
+    await sleep(50);
+    store.trouble = StoreTrouble.AnswerLost;
+    store.silenceMs = 800;
+    await sleep(3_500);
+    assert.ok(owner.isOwner);
+    assert.ok(owner.ownership.isConfirmed);
+    assert.equal(other.isOwner, false);
+    store.trouble = StoreTrouble.None;
+    void other.ownership.release(undefined);
+    await owner.ownership.release(undefined);
+  });
+
+  it('is kept by an owner whose renewals of most of a lease take effect too late', async () => {
+    const store = new MemoryStore();
+    const owner = new Contender(store, 'a');
+    await waitUntil(() => owner.isOwner);
+    const other = new Contender(store, 'b');
+    store.silenceMs = 800;
+    for (let round = 0; round < 2; round += 1) {
+      const { renewals } = owner.listener;
+      await waitUntil(() => owner.listener.renewals > renewals);
+      store.trouble = StoreTrouble.Late;
+      await sleep(900);
+      store.trouble = StoreTrouble.None;
+      await sleep(700);
+      store.applyLate();
+    }
+    assert.ok(owner.isOwner);
+    assert.equal(other.isOwner, false);
+    void other.ownership.release(undefined);
+    await owner.ownership.release(undefined);
+  });
+
   it('is not taken over at once after an outage: the owner gets a lease to renew', async () => {
     const store = new MemoryStore();
     const owner = new Contender(store, 'a');
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -11,6 +11,7 @@
   type Transaction,
 } from '@currantgap/store';
 import { err, ok, type Result } from 'neverthrow';
+import { setTimeout as sleep } from 'node:timers/promises';
 
 /** Ways in which the store stand-in misbehaves. */
 export enum StoreTrouble {
@@ -31,6 +32,8 @@
 /** The platform's store in memory: one rising version, transactions in a part, feeds. */
 export class MemoryStore extends Store {
   trouble = StoreTrouble.None;
+  /** Milliseconds after which the client of a write without an answer gives it up. */
+  silenceMs = 0;
   /** Transactions that were sent, whatever became of them. */
   commits = 0;
   readonly #rows = new Map<string, Row>();
@@ -75,11 +78,11 @@
     if (fault !== undefined) return err(fault);
     if (this.trouble === StoreTrouble.Late) {
       this.#late.push(transaction);
-      return err(createFault(StoreFaultKind.Unknown));
+      return this.#giveUp();
     }
     const result = this.#apply(transaction);
-    if (this.trouble === StoreTrouble.AnswerLost) return err(createFault(StoreFaultKind.Unknown));
-    return result;
+    const isLost = this.trouble === StoreTrouble.AnswerLost && result.isOk();
+    return isLost ? this.#giveUp() : result;
   }
 
   async read(query: RangeQuery): Promise<Result<RangePage, StoreFault>> {
@@ -102,6 +105,11 @@
     return this.#readFeed(query) ?? ok({ rows: [], version: this.#version });
   }
 
+  async #giveUp(): Promise<Result<number, StoreFault>> {
+    await sleep(this.silenceMs);
+    return err(createFault(StoreFaultKind.Unknown));
+  }
+
   #readFeed(query: FeedQuery): Result<FeedPage, StoreFault> | undefined {
     const fault = this.#findFault();
     if (fault !== undefined) return err(fault);
