feat(scheduling): learn the work of a submission apart from the rate of arrivals

Cause: the load that is coming was the work of the submissions of the last 400 ms to 1 s. Ruled out: slow release as the main part (the pool shrinks within 1.5 s). Change: rate of the moment (400 ms, 1 s, 2 s) times a mean work learned over some ten submissions. Conclusion: what is noisy must not size a pool.

--- a/packages/scheduling/src/arrivals.ts
+++ b/packages/scheduling/src/arrivals.ts
@@ -8,8 +8,11 @@
 const WINDOWS: readonly Window[] = [
   { lengthMs: 400, minimumArrivals: 3 },
   { lengthMs: 1_000, minimumArrivals: 4 },
+  { lengthMs: 2_000, minimumArrivals: 6 },
 ];
-const LONGEST_MS = 1_000;
+const LONGEST_MS = 2_000;
+/** Share of a new submission in the learned work of one; the first ones count alike. */
+const SMOOTHING = 0.1;
 
 /** Work that arrived. */
 interface Arrival {
@@ -27,31 +30,36 @@
 }
 
 /**
- * Load pattern: a queue that is quiet begins to ask several times its mean. What runs and waits
- * shows the rise only after some task times; the rate of arrivals shows it at once, so that VMs
- * can be fetched before the queue is long.
+ * Load pattern: a queue that is quiet begins to ask several times its mean, in submissions of
+ * very unlike sizes. What runs and waits shows the rise only after some task times; the rate of
+ * arrivals shows it at once, so that VMs can be fetched before the queue is long. The rate is
+ * that of the moment; the work of one submission is learned over many, since a few large ones
+ * would else look like a burst of their own.
  */
 export class ArrivalMeter {
-  #arrivals: Arrival[] = [];
+  #times: number[] = [];
+  #count = 0;
+  #meanCpuWork = 0;
+  #meanMemoryWork = 0;
 
   /** Records the work of one submission. */
-  record(arrival: Arrival): void {
-    this.#arrivals.push(arrival);
+  record({ at, cpuWork, memoryWork }: Arrival): void {
+    this.#times.push(at);
+    this.#count += 1;
+    const share = Math.max(SMOOTHING, 1 / this.#count);
+    this.#meanCpuWork += share * (cpuWork - this.#meanCpuWork);
+    this.#meanMemoryWork += share * (memoryWork - this.#meanMemoryWork);
   }
 
   /** Computes the load that arrivals at the present rate amount to, by Little's law. */
   computeLoad(now: number): ArrivalLoad {
-    this.#arrivals = this.#arrivals.filter(({ at }) => at > now - LONGEST_MS);
-    let cpuMillis = 0;
-    let memoryMb = 0;
+    this.#times = this.#times.filter((at) => at > now - LONGEST_MS);
+    let perMs = 0;
     for (const { lengthMs, minimumArrivals } of WINDOWS) {
-      const recent = this.#arrivals.filter(({ at }) => at > now - lengthMs);
-      if (recent.length < minimumArrivals) continue;
-      const cpuWork = recent.reduce((sum, arrival) => sum + arrival.cpuWork, 0);
-      const memoryWork = recent.reduce((sum, arrival) => sum + arrival.memoryWork, 0);
-      cpuMillis = Math.max(cpuMillis, cpuWork / lengthMs);
-      memoryMb = Math.max(memoryMb, memoryWork / lengthMs);
+      const count = this.#times.filter((at) => at > now - lengthMs).length;
+      if (count < minimumArrivals) continue;
+      perMs = Math.max(perMs, count / lengthMs);
     }
-    return { cpuMillis, memoryMb };
+    return { cpuMillis: perMs * this.#meanCpuWork, memoryMb: perMs * this.#meanMemoryWork };
   }
 }
