feat(ingress): submissions in eight parts of the intake, so a slow store takes them in time

Cause: the store writes a part one transaction after another. Ruled out: the breaker as the cause (it broke after the refusals). Change: the part follows from the id, the same at every front; one or two transactions under way in a part; a renewal is tried again after twice the time of the last answer, at least 240 ms; the follower reads several parts; old jobs are removed part by part. The stand-in's parts can be slow.

--- a/packages/execution/src/cleaner.ts
+++ b/packages/execution/src/cleaner.ts
@@ -1,4 +1,4 @@
-import { getCancelKey, INTAKE_PART, INTAKE_TABLE } from './job-book.ts';
+import { getCancelKey, getIntakePart, INTAKE_TABLE } from './job-book.ts';
 import { getWallNow, type OwnerContext } from './context.ts';
 import { LEDGER_TABLE } from './ledger.ts';
 import { FENCE_ROW, OWNER_PART } from '@currantgap/ownership';
@@ -31,16 +31,20 @@
     const oldest = getWallNow() - bounds.statusMs - MARGIN_MS;
     const old: Job[] = [];
     for (const job of jobs.jobs) {
-      if (job.isEnded && job.endedAt > 0 && job.endedAt < oldest) old.push(job);
+      if (!job.isEnded || job.endedAt === 0 || job.endedAt >= oldest) continue;
+      // One transaction changes one part: the others have their turn later.
+      const [first = job] = old;
+      if (getIntakePart(job.id) === getIntakePart(first.id)) old.push(job);
       if (old.length === JOBS_AT_ONCE) break;
     }
-    if (old.length > 0) void this.#remove(old);
+    const [first] = old;
+    if (first !== undefined) void this.#remove(old, getIntakePart(first.id));
   }
 
   /** The submission goes first: a ledger row without it would only be left over. */
-  async #remove(old: readonly Job[]): Promise<void> {
+  async #remove(old: readonly Job[], part: string): Promise<void> {
     const { jobs, logger, term } = this.#context;
-    const intake = { table: INTAKE_TABLE, part: INTAKE_PART };
+    const intake = { table: INTAKE_TABLE, part };
     const submissions = await this.#store.commit({
       conditions: [],
       puts: [],
--- a/packages/execution/src/job-book.ts
+++ b/packages/execution/src/job-book.ts
@@ -3,9 +3,17 @@
 import type { Row } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 
-/** Table and part into which the fronts write accepted submissions and cancels. */
+/** Table into which the fronts write accepted submissions and cancels. */
 export const INTAKE_TABLE = 'intake';
-export const INTAKE_PART = 'jobs';
+/**
+ * Parts of the intake. The store writes a part one transaction after another and, while it is
+ * slow, no more than about four a second: all fronts together need several times as many.
+ */
+const INTAKE_PART_COUNT = 8;
+export const INTAKE_PARTS: readonly string[] = Array.from(
+  { length: INTAKE_PART_COUNT },
+  (_, number) => `jobs-${number}`,
+);
 /** Ends the key of a cancel, which begins with the submission's id. */
 const CANCEL_SUFFIX = '/cancel';
 
@@ -14,6 +22,11 @@
   return `${id}${CANCEL_SUFFIX}`;
 }
 
+/** Gets the part in which the rows of a submission lie: the same for every front. */
+export function getIntakePart(id: string): string {
+  return `jobs-${Number.parseInt(id.slice(-1), 16) % INTAKE_PART_COUNT}`;
+}
+
 /** What the owner adds to a job. */
 export interface JobRecord {
   readonly job: Job;
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -14,7 +14,7 @@
 import { Fleet } from './fleet.ts';
 import { Holds } from './holds.ts';
 import { Intake } from './intake.ts';
-import { INTAKE_PART, INTAKE_TABLE, JobBook, type JobRecord } from './job-book.ts';
+import { INTAKE_PARTS, INTAKE_TABLE, JobBook, type JobRecord } from './job-book.ts';
 import { Ledger, LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import { getLeaseMs, isUncertain, Orders } from './orders.ts';
@@ -110,7 +110,7 @@
     this.start();
     this.#context.jobs.loadLedger(await this.#readOwned(LEDGER_TABLE));
     this.#vmWork?.load(await this.#readOwned(WAVE_TABLE));
-    this.#follow(INTAKE_TABLE, INTAKE_PART, INTAKE_PAUSE_MS, 'intake');
+    this.#follow(INTAKE_TABLE, INTAKE_PARTS, INTAKE_PAUSE_MS, 'intake');
     this.#ticker = setInterval(() => {
       this.post({ kind: 'tick' });
     }, TICK_MS);
@@ -269,11 +269,16 @@
     return [];
   }
 
-  #follow(table: string, part: string, pauseMs: number, kind: 'intake' | 'registry'): void {
+  #follow(
+    table: string,
+    parts: readonly string[],
+    pauseMs: number,
+    kind: 'intake' | 'registry',
+  ): void {
     const follower = new Follower({
       store: this.#options.store,
       table,
-      part,
+      parts,
       pauseMs,
       onRows: (rows, isWhole) => {
         this.#context.post({ kind, rows, isWhole });
@@ -289,7 +294,7 @@
     if (!isFirst) return;
     this.#isLoaded = true;
     this.#context.logger.writeInfo('jobs read', { active: this.#context.active.size });
-    this.#follow(this.#options.registry.table, '', REGISTRY_PAUSE_MS, 'registry');
+    this.#follow(this.#options.registry.table, [''], REGISTRY_PAUSE_MS, 'registry');
   }
 
   #applyLooked({ target, report, sentAt }: OwnerMessage & { kind: 'looked' }): void {
--- a/packages/ingress/src/front.ts
+++ b/packages/ingress/src/front.ts
@@ -1,4 +1,4 @@
-import { getCancelKey, INTAKE_PART, INTAKE_TABLE } from '@currantgap/execution';
+import { getCancelKey, getIntakePart, INTAKE_TABLE } from '@currantgap/execution';
 import { encodeStoredJob } from '@currantgap/jobs';
 import {
   createFault,
@@ -162,7 +162,7 @@
     const outcome = await this.#writer.write({
       row: {
         table: INTAKE_TABLE,
-        part: INTAKE_PART,
+        part: getIntakePart(id),
         key: id,
         value: encodeStoredJob({
           id,
@@ -192,7 +192,7 @@
     if (state === LookupFault.Unavailable) return buildUnavailable('The cancel was not stored.');
     if (!state) return buildNotFound();
     const outcome = await this.#writer.write({
-      row: { table: INTAKE_TABLE, part: INTAKE_PART, key: getCancelKey(id), value: '' },
+      row: { table: INTAKE_TABLE, part: getIntakePart(id), key: getCancelKey(id), value: '' },
       isNew: false,
       deadline: call.deadline,
     });
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -8,8 +8,8 @@
 const BYTES_PER_TRANSACTION = 400_000;
 /** Milliseconds in which rows gather for one transaction; a small part of the store's own time. */
 const GATHER_MS = 3;
-/** Transactions under way at once: one slow answer does not hold up all others. */
-const MAXIMUM_TRANSACTIONS = 3;
+/** Transactions under way at once in one part: one lost answer does not hold up all others. */
+const MAXIMUM_TRANSACTIONS = 2;
 /** Milliseconds before a write without an answer is tried again. */
 const RETRY_MS = 100;
 /** Tries of a write that may have been done; after them the caller does better elsewhere. */
@@ -51,7 +51,8 @@
   readonly #store: Store;
   readonly #logger: Logger;
   #pending: PendingWrite[] = [];
-  #underWay = 0;
+  /** Transactions under way by part. */
+  readonly #underWay = new Map<string, number>();
   #isGathering = false;
   #failures = 0;
   #brokenUntil = 0;
@@ -109,26 +110,30 @@
   }
 
   #send(): void {
-    while (this.#pending.length > 0 && this.#underWay < MAXIMUM_TRANSACTIONS) {
-      const batch = this.#takeBatch();
-      this.#underWay += 1;
+    for (const part of new Set(this.#pending.map(({ row }) => row.part))) {
+      const underWay = this.#underWay.get(part) ?? 0;
+      if (underWay >= MAXIMUM_TRANSACTIONS) continue;
+      const batch = this.#takeBatch(part);
+      this.#underWay.set(part, underWay + 1);
       void this.#commit(batch).finally(() => {
-        this.#underWay -= 1;
+        this.#underWay.set(part, (this.#underWay.get(part) ?? 1) - 1);
         this.#send();
       });
     }
   }
 
-  #takeBatch(): PendingWrite[] {
+  #takeBatch(part: string): PendingWrite[] {
     const batch: PendingWrite[] = [];
     let bytes = 0;
     for (const write of this.#pending) {
+      if (write.row.part !== part) continue;
       bytes += write.row.value.length;
       if (batch.length > 0 && bytes > BYTES_PER_TRANSACTION) break;
       batch.push(write);
       if (batch.length === ROWS_PER_TRANSACTION) break;
     }
-    this.#pending = this.#pending.slice(batch.length);
+    const taken = new Set(batch);
+    this.#pending = this.#pending.filter((write) => !taken.has(write));
     return batch;
   }
 
--- a/packages/ingress/src/state-reader.ts
+++ b/packages/ingress/src/state-reader.ts
@@ -1,4 +1,4 @@
-import { getCancelKey, INTAKE_PART, INTAKE_TABLE, LEDGER_TABLE } from '@currantgap/execution';
+import { getCancelKey, getIntakePart, INTAKE_TABLE, LEDGER_TABLE } from '@currantgap/execution';
 import { readLedgerState } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
 import { OWNER_PART } from '@currantgap/ownership';
@@ -70,7 +70,7 @@
   async #readIntake(id: string): Promise<string[] | undefined> {
     const page = await this.#store.read({
       table: INTAKE_TABLE,
-      part: INTAKE_PART,
+      part: getIntakePart(id),
       from: id,
       limit: 2,
     });
--- a/packages/ingress/test/intake-writer.test.ts
+++ b/packages/ingress/test/intake-writer.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { getIntakePart } from '@currantgap/execution';
 import { IntakeWriter, WriteOutcome } from '@currantgap/ingress';
 import { MemoryStore, StoreTrouble } from '@currantgap/standins';
 import type { Transaction } from '@currantgap/store';
@@ -10,6 +11,8 @@
 
 const LONG_MS = 60_000;
 const HANG_MS = 5_000;
+/** Time limit of a caller. */
+const CALLER_MS = 2_900;
 
 /** A store that answers nothing until the calls under way are given up. */
 class HangingStore extends MemoryStore {
@@ -94,6 +97,25 @@
     assert.equal(await write('b'), WriteOutcome.Refused);
   });
 
+  it('is stored by a slow store too, though many fronts write at once', async () => {
+    const store = new MemoryStore();
+    store.transactionMs = 270;
+    const fronts = Array.from({ length: 6 }, () => new IntakeWriter(store, new Logger()));
+    const outcomes: Promise<WriteOutcome>[] = [];
+    for (let number = 0; number < 44; number += 1) {
+      const id = (number * 0x9e3779b1).toString(16).padStart(16, '0');
+      const row = { table: 'intake', part: getIntakePart(id), key: id, value: id };
+      const deadline = performance.now() + CALLER_MS;
+      const write = fronts[number % fronts.length]?.write({ row, isNew: true, deadline });
+      if (write !== undefined) outcomes.push(write);
+      await sleep(90);
+    }
+    const refused = (await Promise.all(outcomes)).filter(
+      (outcome) => outcome !== WriteOutcome.Written,
+    );
+    assert.deepEqual(refused, []);
+  });
+
   it('does not wait for a store that has just failed again and again', async () => {
     const store = new MemoryStore();
     store.trouble = StoreTrouble.Down;
--- a/packages/node/src/operator-follower.ts
+++ b/packages/node/src/operator-follower.ts
@@ -31,7 +31,7 @@
     this.#follower = new Follower({
       store,
       table: OPERATOR_TABLE,
-      part: '',
+      parts: [''],
       pauseMs: PAUSE_MS,
       onRows: (rows, isWhole) => {
         this.#apply(rows, isWhole);
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -87,6 +87,8 @@
   #isStopped = false;
   /** Steady instant at which the last renewal that succeeded was sent. */
   #confirmedAt = 0;
+  /** Milliseconds that the store took to answer the last renewal. */
+  #answerMs = 0;
   /** Epoch of this process's last term; a term that was given up is not taken up again. */
   #lastEpoch = 0;
   /** The lease that the last try to take over was made against, and since when it had stood. */
@@ -138,12 +140,9 @@
     if (term === undefined) return;
     this.drop('released');
     const lease = { ...this.#buildLease(term.epoch), isReleased: true, successor };
-    const { store } = this.#options;
     const { fenceVersion } = term;
-    const result = await putLease(
-      { store, fenceVersion, version: this.#leaseVersion },
-      encodeLease(lease),
-    );
+    const target = { store: this.#options.store, fenceVersion, version: this.#leaseVersion };
+    const result = await putLease(target, encodeLease(lease));
     this.#options.logger.writeInfo('ownership released', {
       epoch: term.epoch,
       successor: successor ?? '',
@@ -319,6 +318,7 @@
       store: this.#options.store,
       fenceVersion: term.fenceVersion,
       version: this.#leaseVersion,
+      answerMs: this.#answerMs,
       buildLease: () => this.#buildLease(term.epoch),
       isWanted: () => this.#term === term,
       onFault: ({ message }) => {
@@ -327,7 +327,9 @@
         this.#isFailing = true;
       },
     });
-    return renewal.run();
+    const result = await renewal.run();
+    this.#answerMs = result.answerMs;
+    return result;
   }
 
   #buildLease(epoch: number): LeaseRow {
--- a/packages/ownership/src/renewal.ts
+++ b/packages/ownership/src/renewal.ts
@@ -2,11 +2,15 @@
 import { encodeLease, FENCE_ROW, LEASE_ROW, type LeaseRow } from './rows.ts';
 
 /**
- * Milliseconds without an answer after which a renewal is tried again beside the first try: five
- * tries fit into a lease after its regular renewal, so that a few lost answers or writes do not
- * change the owner. A slow store answers within some 300 ms and sees one needless try.
+ * Least milliseconds without an answer after which a renewal is tried again beside the first try:
+ * four tries fit into a lease, so that a few lost answers or writes do
+ * not change the owner.
  */
-const NEXT_TRY_MS = 180;
+const NEXT_TRY_MS = 240;
+/** The next try waits this many times the last answer: a slow store must not get a queue of tries. */
+const ANSWER_MULTIPLE = 2;
+/** Most milliseconds before the next try: it still comes before the lease is over. */
+const LONGEST_NEXT_TRY_MS = 900;
 
 /** What became of a renewal. */
 export enum RenewalOutcome {
@@ -28,6 +32,8 @@
   readonly sentAt: number;
   /** What the try that was written said; undefined where none was. */
   readonly lease: LeaseRow | undefined;
+  /** Milliseconds that the answer which settled it took. */
+  readonly answerMs: number;
 }
 
 /** Options of one renewal. */
@@ -37,6 +43,8 @@
   readonly fenceVersion: number;
   /** Version of the lease row as last known. */
   readonly version: number;
+  /** Milliseconds that the store took to answer the renewal before. */
+  readonly answerMs: number;
   readonly buildLease: () => LeaseRow;
   /** Tells whether the term goes on. */
   readonly isWanted: () => boolean;
@@ -76,7 +84,7 @@
   #send(): void {
     const { isWanted, buildLease } = this.#options;
     if (!isWanted()) {
-      this.#settle(this.#describe(RenewalOutcome.Abandoned));
+      this.#report(RenewalOutcome.Abandoned, this.#options.answerMs);
       return;
     }
     const lease = buildLease();
@@ -85,15 +93,20 @@
     this.#tries.set(value, attempt);
     this.#timer = setTimeout(() => {
       this.#send();
-    }, NEXT_TRY_MS);
+    }, this.#computePause());
     void putLease(this.#options, value).then((result) => {
-      if (result.isOk())
-        this.#settle(this.#describe(RenewalOutcome.Written, result.value, attempt));
-      else this.#handleFault(result.error);
+      const answerMs = performance.now() - attempt.sentAt;
+      if (result.isErr()) this.#handleFault(result.error, answerMs);
+      else this.#report(RenewalOutcome.Written, answerMs, result.value, attempt);
     });
   }
 
-  #handleFault(fault: StoreFault): void {
+  #computePause(): number {
+    const pauseMs = Math.max(NEXT_TRY_MS, ANSWER_MULTIPLE * this.#options.answerMs);
+    return Math.min(pauseMs, LONGEST_NEXT_TRY_MS);
+  }
+
+  #handleFault(fault: StoreFault, answerMs: number): void {
     if (fault.kind !== StoreFaultKind.Conflict) {
       this.#options.onFault(fault);
       return;
@@ -101,20 +114,27 @@
     const fence = findRow(fault.rows, FENCE_ROW.table);
     const lease = findRow(fault.rows, LEASE_ROW.table);
     if (fence?.version !== this.#options.fenceVersion || lease === undefined) {
-      this.#settle(this.#describe(RenewalOutcome.TakenOver));
+      this.#report(RenewalOutcome.TakenOver, answerMs);
       return;
     }
     const written = this.#tries.get(lease.value);
     const outcome = written === undefined ? RenewalOutcome.Overtaken : RenewalOutcome.Written;
-    this.#settle(this.#describe(outcome, lease.version, written));
+    this.#report(outcome, answerMs, lease.version, written);
   }
 
-  #describe(
+  #report(
     outcome: RenewalOutcome,
+    answerMs: number,
     version = this.#options.version,
     written?: Try,
-  ): RenewalResult {
-    return { outcome, version, sentAt: written?.sentAt ?? 0, lease: written?.lease };
+  ): void {
+    this.#settle({
+      outcome,
+      version,
+      answerMs,
+      sentAt: written?.sentAt ?? 0,
+      lease: written?.lease,
+    });
   }
 }
 
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -5,6 +5,7 @@
   decodeLease,
   FENCE_ROW,
   LEASE_ROW,
+  OWNER_PART,
   Ownership,
   OwnershipListener,
   type LeasedTarget,
@@ -65,7 +66,7 @@
   while (!isTrue()) await sleep(5);
 }
 
-describe('the ownership of the fleet', () => {
+describe('the ownership of the fleet', { concurrency: true }, () => {
   it('is taken by one contender only, with the version of the take-over as its token', async () => {
     const store = new MemoryStore();
     const contenders = ['a', 'b', 'c'].map((node) => new Contender(store, node));
@@ -175,6 +176,31 @@
     await owner.ownership.release(undefined);
   });
 
+  it('is kept by an owner whose store is slow and busy with its other writes', async () => {
+    const store = new MemoryStore();
+    const owner = new Contender(store, 'a');
+    await waitUntil(() => owner.isOwner);
+    const other = new Contender(store, 'b');
+    store.transactionMs = 270;
+    const key = { table: 'ledger', part: OWNER_PART, key: 'job' };
+    const endsAt = performance.now() + 5_000;
+    let refusals = 0;
+    while (performance.now() < endsAt) {
+      const result = await store.commit({
+        conditions: [],
+        puts: [{ ...key, value: '' }],
+        removals: [],
+      });
+      if (result.isErr()) refusals += 1;
+    }
+    assert.ok(owner.isOwner);
+    assert.equal(other.isOwner, false);
+    assert.equal(refusals, 0);
+    store.transactionMs = 0;
+    void other.ownership.release(undefined);
+    await owner.ownership.release(undefined);
+  });
+
   it('is not taken over at once after an outage: the owner gets a lease to renew', async () => {
     const store = new MemoryStore();
     const owner = new Contender(store, 'a');
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -27,6 +27,8 @@
 }
 
 const PAGE_ROWS = 500;
+/** Milliseconds of transactions that may wait for one part. */
+const MAXIMUM_QUEUE_MS = 1_000;
 const RANGE_END = '\uffff';
 
 /** The platform's store in memory: one rising version, transactions in a part, feeds. */
@@ -34,6 +36,8 @@
   trouble = StoreTrouble.None;
   /** Milliseconds after which the client of a write without an answer gives it up. */
   silenceMs = 0;
+  /** Milliseconds for which one transaction keeps its part: the next one of the part waits. */
+  transactionMs = 0;
   /** Transactions that were sent, whatever became of them. */
   commits = 0;
   readonly #rows = new Map<string, Row>();
@@ -42,6 +46,8 @@
   #version = 0;
   #late: Transaction[] = [];
   readonly #waiters = new Set<() => void>();
+  /** Instant until which the transactions of each part take. */
+  readonly #busyUntil = new Map<string, number>();
 
   get now(): number {
     return performance.now();
@@ -73,7 +79,8 @@
 
   async commit(transaction: Transaction): Promise<Result<number, StoreFault>> {
     this.commits += 1;
-    await Promise.resolve();
+    const isTaken = await this.#waitForTurn(transaction);
+    if (!isTaken) return err(createFault(StoreFaultKind.Refused));
     const fault = this.#findFault();
     if (fault !== undefined) return err(fault);
     if (this.trouble === StoreTrouble.Late) {
@@ -105,6 +112,19 @@
     return this.#readFeed(query) ?? ok({ rows: [], version: this.#version });
   }
 
+  /** Waits for the part's earlier transactions; false where too many of them wait already. */
+  async #waitForTurn({ conditions, puts, removals }: Transaction): Promise<boolean> {
+    const [first] = [...conditions, ...puts, ...removals];
+    if (this.transactionMs === 0 || first === undefined) return Promise.resolve(true);
+    const now = performance.now();
+    const startsAt = Math.max(now, this.#busyUntil.get(first.part) ?? 0);
+    if (startsAt - now > MAXIMUM_QUEUE_MS) return false;
+    const endsAt = startsAt + this.transactionMs;
+    this.#busyUntil.set(first.part, endsAt);
+    await sleep(endsAt - now);
+    return true;
+  }
+
   async #giveUp(): Promise<Result<number, StoreFault>> {
     await sleep(this.silenceMs);
     return err(createFault(StoreFaultKind.Unknown));
--- a/packages/store/src/follower.ts
+++ b/packages/store/src/follower.ts
@@ -1,3 +1,4 @@
+import { Result } from 'neverthrow';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { readAll, StoreFaultKind, type Row, type Store, type StoreFault } from './store.ts';
 
@@ -13,7 +14,8 @@
 export interface FollowerOptions {
   readonly store: Store;
   readonly table: string;
-  readonly part: string;
+  /** Parts whose rows are wanted. */
+  readonly parts: readonly string[];
   /** Milliseconds between an answer and the next poll: gathers changes into fewer calls. */
   readonly pauseMs: number;
   /** Receives the whole content first and after lost history, and then the changes. */
@@ -22,7 +24,7 @@
   readonly onFault?: (fault: StoreFault | undefined) => void;
 }
 
-/** Follows one part of one table: a whole read, then its feed; reads again when history is gone. */
+/** Follows some parts of one table: a whole read, then its feed; reads again when history is gone. */
 export class Follower {
   readonly #options: FollowerOptions;
   #version: number | undefined;
@@ -47,18 +49,21 @@
   }
 
   async #readWhole(): Promise<boolean> {
-    const { store, table, part } = this.#options;
-    const page = await readAll(store, table, part);
+    const { store, table, parts } = this.#options;
+    const answers = await Promise.all(parts.map(async (part) => readAll(store, table, part)));
     if (this.#isStopped) return true;
-    if (page.isErr()) return this.#fail(page.error);
+    const pages = Result.combine(answers);
+    if (pages.isErr()) return this.#fail(pages.error);
     this.#recover();
-    this.#version = page.value.version;
-    this.#options.onRows(page.value.rows, true);
+    // The parts were read one after another: from the oldest reading on, changes come again.
+    this.#version = Math.min(...pages.value.map(({ version }) => version));
+    const rows = pages.value.flatMap((page) => page.rows);
+    this.#options.onRows(rows, true);
     return true;
   }
 
   async #poll(): Promise<boolean> {
-    const { store, table, part } = this.#options;
+    const { store, table, parts } = this.#options;
     const page = await store.poll({ table, after: this.#version ?? 0, waitMs: POLL_WAIT_MS });
     if (this.#isStopped) return true;
     if (page.isErr()) {
@@ -67,7 +72,7 @@
     }
     this.#recover();
     this.#version = Math.max(this.#version ?? 0, page.value.version);
-    const rows = page.value.rows.filter((row) => row.part === part);
+    const rows = page.value.rows.filter((row) => parts.includes(row.part));
     if (rows.length > 0) this.#options.onRows(rows, false);
     return true;
   }
--- a/packages/store/test/follower.test.ts
+++ b/packages/store/test/follower.test.ts
@@ -23,7 +23,8 @@
     await put(store, 'a');
     const seen: [string, boolean][] = [];
     const follower = new Follower({
-      ...ROW,
+      table: ROW.table,
+      parts: [ROW.part],
       store,
       pauseMs: PAUSE_MS,
       onRows: (rows, isWhole) => seen.push([rows.map(({ key }) => key).join(), isWhole]),
@@ -50,7 +51,8 @@
     const seen: string[] = [];
     const faults: boolean[] = [];
     const follower = new Follower({
-      ...ROW,
+      table: ROW.table,
+      parts: [ROW.part],
       store,
       pauseMs: 0,
       onRows: (rows) => seen.push(...rows.map(({ key }) => key)),
