fix(execution): the ledger leaves half of a slow store's part to the lease

Cause: ledger and lease lie in one part, which a slow store writes one transaction after another (270 ms). The ledger sent the next transaction at once, so each renewal waited for one or two of them and timed out at times. Change: a pause between transactions as long as the last answer took.

--- a/packages/execution/src/ledger.ts
+++ b/packages/execution/src/ledger.ts
@@ -8,6 +8,11 @@
 export const LEDGER_TABLE = 'ledger';
 /** Milliseconds in which changes gather for one transaction. */
 const GATHER_MS = 20;
+/**
+ * Most milliseconds between two transactions of a slow store. The pause is as long as the last
+ * answer took, so that the lease, which lies in the same part, is renewed in between.
+ */
+const LONGEST_PAUSE_MS = 400;
 /** Milliseconds before a transaction that was not done is tried again. */
 const RETRY_MS = 150;
 /** Jobs in one transaction: two entries each, and the fence, in at most a hundred. */
@@ -32,6 +37,8 @@
   #isWriting = false;
   #isStopped = false;
   #isFailing = false;
+  /** Steady instant before which no transaction is sent. */
+  #pauseUntil = 0;
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: LedgerOptions) {
@@ -60,10 +67,14 @@
 
   #schedule(delayMs: number): void {
     if (this.#isWriting || this.#isStopped) return;
-    this.#timer ??= setTimeout(() => {
-      this.#timer = undefined;
-      void this.#write();
-    }, delayMs);
+    const pauseMs = this.#pauseUntil - performance.now();
+    this.#timer ??= setTimeout(
+      () => {
+        this.#timer = undefined;
+        void this.#write();
+      },
+      Math.max(delayMs, pauseMs),
+    );
   }
 
   async #write(): Promise<void> {
@@ -74,7 +85,10 @@
     const generation = this.#generation;
     if (isWhole) this.#generation += 1;
     this.#isWriting = true;
+    const sentAt = performance.now();
     const isWritten = await this.#commit(jobs);
+    const answeredAt = performance.now();
+    this.#pauseUntil = answeredAt + Math.min(answeredAt - sentAt, LONGEST_PAUSE_MS);
     this.#isWriting = false;
     if (!isWritten) for (const job of jobs) this.#pending.add(job);
     else this.#options.onWritten(isWhole ? generation : generation - 1, jobs);
--- a/packages/execution/test/ledger.test.ts
+++ b/packages/execution/test/ledger.test.ts
@@ -66,4 +66,17 @@
     assert.equal(harness.store.peek(ROW), undefined);
     harness.context.ledger.stop();
   });
+
+  it('leaves half of a slow store to the lease', async () => {
+    const harness = new TermHarness();
+    await harness.openFence();
+    harness.store.transactionMs = 200;
+    const commits = harness.store.commits;
+    for (let number = 0; number < 40; number += 1) {
+      harness.context.ledger.add(harness.addJob(`00000000000000${number + 10}`, [{}]));
+      await sleep(50);
+    }
+    assert.ok(harness.store.commits - commits <= 6, `${harness.store.commits - commits} in 2 s`);
+    harness.context.ledger.stop();
+  });
 });
