test(execution): advice desk, drainer, pacer and cleaner

Found by writing the tests: nothing ever forgot the tickets of ended jobs; the desk does so itself now, in each round. A wave's status that was not written is logged.

--- a/packages/execution/src/advice-desk.ts
+++ b/packages/execution/src/advice-desk.ts
@@ -57,10 +57,11 @@
     this.#advice.get(step.name)?.tickets.delete(targetId);
   }
 
-  /** Forgets all about the steps of a job. */
-  forget(jobId: string): void {
+  /** Forgets the steps of jobs that have ended. */
+  sweep(): void {
     for (const name of this.#advice.keys()) {
-      if (name.startsWith(`${jobId}.`)) this.#advice.delete(name);
+      const id = name.slice(0, name.indexOf('.'));
+      if (!this.#context.active.has(id)) this.#advice.delete(name);
     }
   }
 
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -96,6 +96,7 @@
     this.#advice = new AdviceDesk(this.#context, options.advicePort);
     this.#planner = new Planner(this.#context, this.#orders, this.#advice);
     this.#sweepers = [
+      this.#advice,
       new Drainer(this.#context, this.#orders),
       new Pacer(this.#context),
       new Cleaner(this.#context, options.store),
--- a/packages/execution/src/wave-keeper.ts
+++ b/packages/execution/src/wave-keeper.ts
@@ -152,9 +152,13 @@
     const row = encodeStatus(progress.wave.number, state === WaveState.Complete);
     const puts = [{ ...row, part: '' }];
     const result = await store.commit({ conditions: [], puts, removals: [] });
-    if (result.isErr()) return;
+    const wave = progress.wave.number;
+    if (result.isErr()) {
+      context.logger.writeWarning('wave not reported', { wave, reason: result.error.message });
+      return;
+    }
     progress.reported = state;
-    context.logger.writeInfo('wave reported', { wave: progress.wave.number, state });
+    context.logger.writeInfo('wave reported', { wave, state });
   }
 
   /** A successor sends an order again that is not noted here; the VM service takes it as done. */
--- /dev/null
+++ b/packages/execution/test/sweepers.test.ts
@@ -0,0 +1,143 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { AttemptPhase, type TaskRun } from '@currantgap/jobs';
+import { JobState, TargetState, type Step } from '@currantgap/model';
+import { OWNER_PART } from '@currantgap/ownership';
+import { Cleaner } from '../src/cleaner.ts';
+import { Drainer } from '../src/drainer.ts';
+import { getCancelKey, getIntakePart, INTAKE_TABLE } from '../src/job-book.ts';
+import { LEDGER_TABLE } from '../src/ledger.ts';
+import { buildAttempt, Orders } from '../src/orders.ts';
+import { Pacer } from '../src/pacer.ts';
+import type { TargetRecord } from '../src/target-record.ts';
+import { createTarget, TermHarness } from './term-harness.ts';
+
+const DAY_MS = 86_400_000;
+const PERIOD_MS = 6_000;
+
+let jobs = 0;
+
+/** Puts one running task of a new job on a target. */
+function run(harness: TermHarness, target: TargetRecord, step: Partial<Step>): TaskRun {
+  jobs += 1;
+  const job = harness.addJob(String(jobs).padStart(16, '0'), [step]);
+  const task = job.openOccurrence(0).steps[0]?.tasks[0];
+  assert.ok(task);
+  const attempt = buildAttempt(target, 1, AttemptPhase.Running, harness.now);
+  harness.fleet.assign(target, task, attempt);
+  return task;
+}
+
+async function settle(): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+}
+
+describe('a target that drains', () => {
+  function drain(remainingMs: number, steps: readonly Partial<Step>[]): string[] {
+    const harness = new TermHarness();
+    const target = harness.addTarget('t1');
+    const tasks = steps.map((step) => run(harness, target, step));
+    const drainer = new Drainer(harness.context, new Orders(harness.context));
+    target.entry = createTarget('t1', { state: TargetState.Draining, remainingMs });
+    drainer.sweep();
+    const stopped = new Set(harness.targets.stops.map(({ task }) => task));
+    return tasks.map(({ name }) => (stopped.has(name) ? 'stopped' : 'left'));
+  }
+
+  it('loses its persistent tasks at once, and keeps what ends in time', () => {
+    const steps = [{ isPersistent: true }, { estimatedMs: 500, isCheckpointing: true }];
+    assert.deepEqual(drain(5_000, steps), ['stopped', 'left']);
+  });
+
+  it('loses what would not end, once the time is short, where it leaves a checkpoint', () => {
+    const long = { estimatedMs: 60_000 };
+    const steps = [{ ...long, isCheckpointing: true }, long];
+    assert.deepEqual(drain(1_000, steps), ['stopped', 'left']);
+    assert.deepEqual(drain(20_000, steps), ['left', 'left']);
+  });
+});
+
+describe('the pacer', () => {
+  function createPair(): {
+    harness: TermHarness;
+    pacer: Pacer;
+    serving: TaskRun;
+    target: TargetRecord;
+  } {
+    const harness = new TermHarness();
+    const target = harness.addTarget('t1');
+    const serving = run(harness, target, { isPersistent: true, latencyTargetMs: 100 });
+    run(harness, target, { isFiller: true });
+    return { harness, pacer: new Pacer(harness.context), serving, target };
+  }
+
+  it('slows fillers beside a serving task that misses its target, step by step', async () => {
+    const { harness, pacer, serving } = createPair();
+    const [attempt] = serving.attempts;
+    assert.ok(attempt);
+    attempt.reading = 150;
+    for (let round = 0; round < 3; round += 1) {
+      pacer.sweep();
+      await settle();
+      harness.pass(100);
+    }
+    assert.deepEqual(harness.targets.paces, [50]);
+    harness.pass(500);
+    pacer.sweep();
+    await settle();
+    assert.deepEqual(harness.targets.paces, [50, 25]);
+  });
+
+  it('repeats a pace that the target did not take, and sends none that it has', async () => {
+    const { harness, pacer, serving, target } = createPair();
+    const [attempt] = serving.attempts;
+    assert.ok(attempt);
+    attempt.reading = 70;
+    target.pace = 40;
+    harness.targets.areOrdersLost = true;
+    for (const areLost of [true, false, false]) {
+      harness.targets.areOrdersLost = areLost;
+      harness.pass(600);
+      pacer.sweep();
+      await settle();
+    }
+    assert.deepEqual(harness.targets.paces, [40, 40]);
+  });
+});
+
+describe('the rows of old jobs', () => {
+  it('are removed part by part once their state need not be readable, and no others', async () => {
+    const harness = new TermHarness();
+    await harness.openFence();
+    const ids = ['00000000000000a0', '00000000000000a1', '00000000000000a8', '00000000000000b0'];
+    for (const id of ids) {
+      const intake = { table: INTAKE_TABLE, part: getIntakePart(id), value: '{}' };
+      const puts = [
+        { ...intake, key: id },
+        { ...intake, key: getCancelKey(id) },
+      ];
+      await harness.store.commit({ conditions: [], puts, removals: [] });
+      const row = { table: LEDGER_TABLE, part: OWNER_PART, key: id, value: '{}' };
+      await harness.store.commit({ conditions: [], puts: [row], removals: [] });
+      const job = harness.addJob(id, [{}]);
+      job.state = JobState.Completed;
+      job.endedAt = id.endsWith('b0') ? Date.now() : Date.now() - DAY_MS;
+    }
+    const cleaner = new Cleaner(harness.context, harness.store);
+    const listLeft = (): string[] =>
+      ids.filter((id) => {
+        const key = { table: INTAKE_TABLE, part: getIntakePart(id), key: id };
+        return harness.store.peek(key) !== undefined;
+      });
+    cleaner.sweep();
+    await settle();
+    assert.deepEqual(listLeft(), ['00000000000000a1', '00000000000000b0']);
+    harness.pass(PERIOD_MS);
+    cleaner.sweep();
+    await settle();
+    assert.deepEqual(listLeft(), ['00000000000000b0']);
+    const [first = ''] = ids;
+    const progress = { table: LEDGER_TABLE, part: OWNER_PART, key: first };
+    assert.equal(harness.store.peek(progress), undefined);
+  });
+});
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -113,6 +113,9 @@
   readonly starts: (StartOrder & { target: string })[] = [];
   readonly stops: (RunOrder & { target: string })[] = [];
   readonly holds: (HoldOrder & { target: string })[] = [];
+  readonly paces: number[] = [];
+  /** Changes of pace get no answer. */
+  areOrdersLost = false;
   startOutcome = StartOutcome.Accepted;
   stopOutcome = OrderOutcome.Accepted;
 
@@ -132,7 +135,8 @@
   }
 
   async setPace(_: TargetAddress, order: PaceOrder): Promise<OrderOutcome> {
-    return Promise.resolve(order.percent >= 0 ? OrderOutcome.Accepted : OrderOutcome.Rejected);
+    this.paces.push(order.percent);
+    return Promise.resolve(this.areOrdersLost ? OrderOutcome.Unknown : OrderOutcome.Accepted);
   }
 }
 
