--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,13 @@
 import { Owner } from '@currantgap/execution';
 import { Front } from '@currantgap/ingress';
 import { describeError } from '@currantgap/model';
-import { Ownership, OwnershipListener, type Term, type TermReport } from '@currantgap/ownership';
+import {
+  computePatience,
+  Ownership,
+  OwnershipListener,
+  type Term,
+  type TermReport,
+} from '@currantgap/ownership';
 import {
   DEADLINE_HEADER,
   decodeSubmission,
@@ -30,8 +36,6 @@
 const STORE_CONNECTIONS = 48;
 /** Connections to one target: its hold, and few orders side by side, since new ones are paid for. */
 const TARGET_CONNECTIONS = 5;
-/** Most milliseconds that a contender waits beyond a lapsed lease, so that few collide. */
-const MAXIMUM_PATIENCE_MS = 250;
 /** Milliseconds of service after SIGTERM: the balancer looks each second and needs two misses. */
 const DEPARTURE_MS = 2_800;
 /** Milliseconds before the platform's SIGKILL at which the process ends in any case. */
@@ -195,7 +199,7 @@
       node: settings.node,
       incarnation: randomBytes(8).toString('hex'),
       address: `${host}:${port}`,
-      patienceMs: Math.random() * MAXIMUM_PATIENCE_MS,
+      patienceMs: computePatience(settings.cores, Math.random()),
       listener: this,
     });
   }
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,3 +1,3 @@
 export * from './ownership.ts';
-export { computeWait, LEASE_MS } from './patience.ts';
+export { computePatience, computeWait, LEASE_MS } from './patience.ts';
 export * from './rows.ts';
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -15,7 +15,12 @@
 /** Contenders wait longer by so many answers of the store: a renewal, and what is before it. */
 const SLACK_ANSWERS = 2;
 /** Most milliseconds by which a slow store makes contenders wait longer. */
-const MAXIMUM_SLACK_MS = 1_000;
+const MAXIMUM_SLACK_MS = 2_000;
+/**
+ * Milliseconds that the first renewal of a term is taken to need: the new owner reads all jobs and
+ * asks all targets what they run, which keeps a weak processor busy for about a second.
+ */
+const FIRST_ANSWER_MS = 700;
 /** Milliseconds between two renewals. */
 const RENEWAL_MS = 300;
 /** Milliseconds after a renewal in which an owner may order VMs: two renewals and an answer. */
@@ -238,6 +243,7 @@
   async #takeOver(): Promise<void> {
     const epoch = (this.#lease?.epoch ?? 0) + 1;
     this.#contested = { lease: this.#lease, since: this.#unchangedSince };
+    this.#answerMs = FIRST_ANSWER_MS;
     const value = encodeLease(this.#buildLease(epoch));
     const sentAt = performance.now();
     const result = await this.#options.store.commit({
--- a/packages/ownership/src/patience.ts
+++ b/packages/ownership/src/patience.ts
@@ -7,6 +7,19 @@
 /** Milliseconds that a named successor has before another contender takes a released lease. */
 const SUCCESSOR_HEAD_START_MS = 400;
 
+/** Most milliseconds that a contender waits beyond a lapsed lease, so that few collide. */
+const MAXIMUM_PATIENCE_MS = 250;
+/** Cores with which a node takes over some hundred targets well within a lease. */
+const SUFFICIENT_CORES = 0.6;
+/** Milliseconds for each missing core: half of the sufficient ones outlast all chance. */
+const WEAKNESS_MS = 1_000;
+
+/** Draws how long a node waits beyond a lapsed lease: the stronger ones go first. */
+export function computePatience(cores: number, chance: number): number {
+  const missing = Math.max(0, SUFFICIENT_CORES - cores);
+  return chance * MAXIMUM_PATIENCE_MS + missing * WEAKNESS_MS;
+}
+
 /** What a contender knows of the lease. */
 export interface LeaseView {
   /** Undefined where no node has owned the fleet yet. */
--- a/packages/ownership/test/patience.test.ts
+++ b/packages/ownership/test/patience.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { computeWait, LEASE_MS, type LeaseRow } from '@currantgap/ownership';
+import { computePatience, computeWait, LEASE_MS, type LeaseRow } from '@currantgap/ownership';
 
 const LEASE: LeaseRow = {
   node: 'a',
@@ -30,6 +30,16 @@
     assert.equal(compute({ slackMs: 540 }), LEASE_MS + 540 + 50);
   });
 
+  it('is longer on a node that is too weak to take over quickly, whatever chance says', () => {
+    const strong = [0, 1].map((chance) => computePatience(0.675, chance));
+    const weak = [0, 1].map((chance) => computePatience(0.324, chance));
+    assert.ok(Math.min(...weak) > Math.max(...strong));
+    assert.deepEqual(
+      strong,
+      [0, 1].map((chance) => computePatience(1.35, chance)),
+    );
+  });
+
   it('ends early once the store shows the lease as over', () => {
     assert.ok(compute({}, 10_200) <= 0);
     assert.ok(compute({}, 9_500) > 0);
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,2 @@
+export * from './plan.ts';
+export * from './promises.ts';
--- a/packages/standins/src/platform/deployment.ts
+++ b/packages/standins/src/platform/deployment.ts
@@ -14,6 +14,8 @@
   readonly nodes: number;
   readonly targets: number;
   readonly command: readonly string[];
+  /** Opens the way of one node to the store; returns the address that the node uses. */
+  readonly openLink?: (node: string, storeAddress: string) => Promise<string>;
 }
 
 /** What a caller got. */
@@ -77,14 +79,17 @@
     const directory = mkdtempSync(`${tmpdir()}/currantgap-`);
     const firstPort = randomInt(FIRST_PORTS, LAST_PORTS);
     const network = randomInt(NODE_NETWORK, 255);
-    for (let index = 0; index < this.#options.nodes; index += 1) {
+    const { nodes, command, openLink } = this.#options;
+    for (let index = 0; index < nodes; index += 1) {
+      const name = `n${index}`;
+      const linkAddress = await openLink?.(name, storeAddress);
       const node = new NodeProcess({
-        name: `n${index}`,
+        name,
         host: `127.0.${network}.${index + 1}`,
         firstPort,
-        storeAddress,
+        storeAddress: linkAddress ?? storeAddress,
         directory,
-        command: this.#options.command,
+        command,
       });
       this.nodes.push(node);
       node.start();
--- a/packages/standins/src/platform/node-process.ts
+++ b/packages/standins/src/platform/node-process.ts
@@ -41,8 +41,9 @@
     return this.#child?.exitCode === null && this.#child.signalCode === null;
   }
 
-  /** Starts the process. */
+  /** Starts the process, unless it runs. */
   start(): void {
+    if (this.isRunning) return;
     const [program, ...words] = this.options.command;
     if (program === undefined) throw new Error('the command has no program');
     this.#child = spawn(program, [...words, 'node'], {
--- a/tools/layers.js
+++ b/tools/layers.js
@@ -10,7 +10,7 @@
   ['entry', 'node'],
   ['cli'],
   ['standins', 'spec'],
-  ['bench', 'features'],
+  ['bench', 'features', 'soak'],
 ];
 
 /** Lists the packages that a package must not import. */
