--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,11 +1,10 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
-import { OWNER_PART, type Term, type TermReport } from '@currantgap/ownership';
+import type { Term, TermReport } from '@currantgap/ownership';
 import { DurationModel } from '@currantgap/scheduling';
-import { Follower, readAll, type Row, type Store } from '@currantgap/store';
+import { Follower, type Row, type Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
-import { setTimeout as sleep } from 'node:timers/promises';
 import { AdviceDesk } from './advice-desk.ts';
 import { Caution } from './caution.ts';
 import { Cleaner } from './cleaner.ts';
@@ -18,6 +17,7 @@
 import { Ledger, LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import { getLeaseMs, isUncertain, Orders } from './orders.ts';
+import { readOwned } from './owned-rows.ts';
 import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
 import { PoolArrivals } from './pool-arrivals.ts';
@@ -38,8 +38,6 @@
 const INTAKE_PAUSE_MS = 15;
 /** Milliseconds between an answer of the registry's feed and the next poll. */
 const REGISTRY_PAUSE_MS = 150;
-/** Milliseconds before a read that failed at the start of a term is tried again. */
-const READ_RETRY_MS = 150;
 /** Milliseconds beyond a computed lapse before a run counts as gone. */
 const LAPSE_MARGIN_MS = 100;
 
@@ -109,8 +107,10 @@
   /** Reads what earlier terms left and begins to decide. */
   async open(): Promise<void> {
     this.start();
-    this.#context.jobs.loadLedger(await this.#readOwned(LEDGER_TABLE));
-    this.#vmWork?.load(await this.#readOwned(WAVE_TABLE));
+    const { store } = this.#options;
+    const isWanted = (): boolean => !this.#isEnded;
+    this.#context.jobs.loadLedger(await readOwned(store, LEDGER_TABLE, isWanted));
+    this.#vmWork?.load(await readOwned(store, WAVE_TABLE, isWanted));
     this.#follow(INTAKE_TABLE, INTAKE_PARTS, INTAKE_PAUSE_MS, 'intake');
     this.#ticker = setInterval(() => {
       this.post({ kind: 'tick' });
@@ -261,15 +261,6 @@
     });
   }
 
-  async #readOwned(table: string): Promise<readonly Row[]> {
-    while (!this.#isEnded) {
-      const page = await readAll(this.#options.store, table, OWNER_PART);
-      if (page.isOk()) return page.value.rows;
-      await sleep(READ_RETRY_MS);
-    }
-    return [];
-  }
-
   #follow(
     table: string,
     parts: readonly string[],
--- a/tools/ci.js
+++ b/tools/ci.js
@@ -9,6 +9,7 @@
   ['generated code', 'npm', ['run', '--silent', 'generate:check']],
   ['specification', 'npm', ['run', '--silent', 'spec']],
   ['unit tests', 'npm', ['run', '--silent', 'test:unit']],
+  ['soak of two seeds', 'npm', ['run', '--silent', 'soak', '--', '--seeds', '2']],
   ['features', 'npm', ['run', '--silent', 'test:features']],
   ['features against the binary', 'npm', ['run', '--silent', 'test:binary']],
 ];
