fix(execution): a ledger generation is written only when nothing of it waits

Cause: a transaction holds 45 jobs. When one that held all pending jobs failed, its jobs went behind those that had come meanwhile; the next transaction, with other 45, then reported the generation of the failed one as written. Ends of its jobs were acknowledged to the targets and were in no ledger; a successor started the tasks again. Ruled out: ends acknowledged without a ledger write (holds wait for the generation), late writes of an earlier try (their condition fails). After: the test passes. A lease row of an earlier version of the product is read as without slack.

--- a/packages/execution/src/ledger.ts
+++ b/packages/execution/src/ledger.ts
@@ -24,7 +24,7 @@
   readonly term: Term;
   readonly logger: Logger;
   /** All changes up to this generation are in the store. */
-  readonly onWritten: (generation: number, jobs: readonly Job[]) => void;
+  readonly onWritten: (generation: number) => void;
   /** Another node took over. */
   readonly onFenced: () => void;
 }
@@ -91,7 +91,8 @@
     this.#pauseUntil = answeredAt + Math.min(answeredAt - sentAt, LONGEST_PAUSE_MS);
     this.#isWriting = false;
     if (!isWritten) for (const job of jobs) this.#pending.add(job);
-    else this.#options.onWritten(isWhole ? generation : generation - 1, jobs);
+    // Part of what waits says nothing of a generation: a job of a failed try may wait behind it.
+    else if (isWhole) this.#options.onWritten(generation);
     if (this.#pending.size > 0) this.#schedule(isWritten ? 0 : RETRY_MS);
   }
 
--- a/packages/execution/test/ledger.test.ts
+++ b/packages/execution/test/ledger.test.ts
@@ -79,4 +79,23 @@
     assert.ok(harness.store.commits - commits <= 6, `${harness.store.commits - commits} in 2 s`);
     harness.context.ledger.stop();
   });
+
+  it('calls no generation written while a job of a failed try waits behind many others', async () => {
+    const harness = new TermHarness();
+    await harness.openFence();
+    const { ledger } = harness.context;
+    harness.store.trouble = StoreTrouble.Late;
+    harness.store.silenceMs = 50;
+    const commits = harness.store.commits;
+    const generation = ledger.add(harness.addJob(ID, [{}]));
+    await waitUntil(() => harness.store.commits > commits);
+    for (let number = 0; number < 60; number += 1) {
+      ledger.add(harness.addJob(`00000000000001${number + 10}`, [{}]));
+    }
+    await sleep(100);
+    harness.store.trouble = StoreTrouble.None;
+    await waitUntil(() => harness.written.some((written) => written >= generation));
+    assert.notEqual(harness.store.peek(ROW), undefined);
+    ledger.stop();
+  });
 });
--- a/packages/ownership/src/rows.ts
+++ b/packages/ownership/src/rows.ts
@@ -49,7 +49,8 @@
 /** Decodes a lease row; undefined where it is none. */
 export function decodeLease(value: string): LeaseRow | undefined {
   try {
-    return JSON.parse(value) as LeaseRow;
+    // A row of an earlier version of the product does not say by how much to wait longer.
+    return { slackMs: 0, ...(JSON.parse(value) as Omit<LeaseRow, 'slackMs'>) };
   } catch {
     return undefined;
   }
