refactor: what the reading of the whole change found twice, dead or needless

Cause: read as one diff, the change held pieces twice and pieces nobody reads. - The loads of pools were computed for each wave and again for the sizer in one round of 100 ms; now once a round, when first asked for. - The cap of a team was searched for each waiting task; now once for a step. - A node's peer listener wrote its JSON answer by hand; it calls the ingress' sendAnswer. The soak's entry repeated the fields of Sent; it derives them. - waitUntil stood in three tests, settle in two; one copy each, in standins and in the harness. Ruled out: the settings that nobody reads stay required, since leaving them out would loosen a check; the intake's breaker and packages/platform's CircuitBreaker are alike but differ in what counts and in when they probe. No behaviour meant to change; no assertion of a test changed.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -20,10 +20,6 @@
   readonly remoteFactor: number;
   readonly statusMs: number;
   readonly holderChangeMs: number;
-  readonly noticeMs: number;
-  readonly moveMs: number;
-  readonly maintenanceMs: number;
-  readonly harmMs: number;
 }
 
 /** State of one term, shared by the parts of the owner's task. */
--- a/packages/execution/src/job-book.ts
+++ b/packages/execution/src/job-book.ts
@@ -12,7 +12,7 @@
 const INTAKE_PART_COUNT = 8;
 export const INTAKE_PARTS: readonly string[] = Array.from(
   { length: INTAKE_PART_COUNT },
-  (_, number) => `jobs-${number}`,
+  (_, number) => formatPart(number),
 );
 /** Ends the key of a cancel, which begins with the submission's id. */
 const CANCEL_SUFFIX = '/cancel';
@@ -24,7 +24,7 @@
 
 /** Gets the part in which the rows of a submission lie: the same for every front. */
 export function getIntakePart(id: string): string {
-  return `jobs-${Number.parseInt(id.slice(-1), 16) % INTAKE_PART_COUNT}`;
+  return formatPart(Number.parseInt(id.slice(-1), 16) % INTAKE_PART_COUNT);
 }
 
 /** What the owner adds to a job. */
@@ -116,3 +116,7 @@
   if (![occurrence, step, index].every((number) => Number.isInteger(number))) return undefined;
   return { id, occurrence, step, index };
 }
+
+function formatPart(number: number): string {
+  return `jobs-${number}`;
+}
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -125,8 +125,10 @@
       return;
     }
     const request = this.#buildRequest(step);
+    const running = this.#context.fleet.getRunning(step.job.stored.team);
+    const cap = this.#findCap(step);
     for (const task of waiting) {
-      if (!this.#isWithinCap(step, step.definition.request)) return;
+      if (cap !== undefined && !isWithinCap(cap, running, step.definition.request)) return;
       const target = chooseTarget({ ...request, failedOn: task.failedOn }, open);
       if (target === undefined) return;
       const ticket = this.#advice.getTicket(step, target.id);
@@ -139,7 +141,9 @@
     if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
       return;
     const { request, count } = step.definition;
-    if (!this.#isWithinCap(step, computeMultiple(request, count))) return;
+    const cap = this.#findCap(step);
+    const running = this.#context.fleet.getRunning(step.job.stored.team);
+    if (cap !== undefined && !isWithinCap(cap, running, computeMultiple(request, count))) return;
     const racks = new Map<string, TargetRecord[]>();
     for (const target of open) racks.set(target.rack, [...(racks.get(target.rack) ?? []), target]);
     const groups = step.definition.isSameRack ? [...racks.values(), open] : [open];
@@ -197,11 +201,11 @@
     };
   }
 
-  #isWithinCap(step: StepRun, request: Resources): boolean {
-    const { fleet, getOperatorView } = this.#context;
+  /** The cap of a step's team; undefined where the configuration names no such team. */
+  #findCap(step: StepRun): Resources | undefined {
     const { team } = step.job.stored;
-    const known = getOperatorView().configuration?.teams.find(({ name }) => name === team);
-    return known === undefined || isWithinCap(known.cap, fleet.getRunning(team), request);
+    const { configuration } = this.#context.getOperatorView();
+    return configuration?.teams.find(({ name }) => name === team)?.cap;
   }
 }
 
--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -2,7 +2,7 @@
 import { TargetState, VmState, type Vm } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
 import type { JobRecord } from './job-book.ts';
-import { computePoolLoads, type PoolLoad } from './pool-load.ts';
+import type { PoolLoad } from './pool-load.ts';
 import type { VmKeeper } from './vm-keeper.ts';
 
 /** Milliseconds for which a pool must have too many VMs before one is switched off. */
@@ -30,13 +30,13 @@
   }
 
   /** Plans the moves that pools need now. */
-  sweep(): void {
+  sweep(getLoads: () => ReadonlyMap<string, PoolLoad>): void {
     const services = this.#context.getOperatorView().configuration?.services ?? [];
     const spare = services.find(({ isSpare }) => isSpare)?.name;
     // Until the first work has come, VMs may still be starting.
     this.#isWarm ||= this.#context.active.size > 0;
     if (spare === undefined || !this.#keeper.isReady || !this.#isWarm) return;
-    const loads = computePoolLoads(this.#context);
+    const loads = getLoads();
     const members = this.#groupVms();
     const pools = services.filter(({ isSpare }) => !isSpare).map(({ name }) => name);
     const total = [...members.values()].reduce((sum, vms) => sum + vms.length, 0);
--- a/packages/execution/src/vm-work.ts
+++ b/packages/execution/src/vm-work.ts
@@ -1,6 +1,7 @@
 import type { Row, Store } from '@currantgap/store';
 import type { OwnerContext } from './context.ts';
 import type { Orders } from './orders.ts';
+import { computePoolLoads, type PoolLoad } from './pool-load.ts';
 import { PoolSizer } from './pool-sizer.ts';
 import type { VmPort } from './ports.ts';
 import type { Reports } from './reports.ts';
@@ -22,6 +23,7 @@
 
 /** All that the owner does with VMs: maintenance waves first, then the sizes of pools. */
 export class VmWork {
+  readonly #context: OwnerContext;
   readonly #vmOrders: VmOrders;
   readonly #keeper: VmKeeper;
   readonly #sizer: PoolSizer;
@@ -29,6 +31,7 @@
 
   constructor(options: VmWorkOptions) {
     const { context, orders, reports, store, port, isCertain, encodeWaveStatus } = options;
+    this.#context = context;
     this.#vmOrders = new VmOrders(context, port, isCertain);
     this.#keeper = new VmKeeper({
       context,
@@ -62,7 +65,11 @@
   /** Moves all plans on and makes new ones. */
   sweep(): void {
     this.#keeper.sweep();
-    this.#waves.sweep();
-    this.#sizer.sweep();
+    let loads: ReadonlyMap<string, PoolLoad> | undefined;
+    // Neither plan changes the loads, and many rounds need none.
+    const getLoads = (): ReadonlyMap<string, PoolLoad> =>
+      (loads ??= computePoolLoads(this.#context));
+    this.#waves.sweep(getLoads);
+    this.#sizer.sweep(getLoads);
   }
 }
--- a/packages/execution/src/wave-keeper.ts
+++ b/packages/execution/src/wave-keeper.ts
@@ -3,7 +3,7 @@
 import { OWNER_PART } from '@currantgap/ownership';
 import type { Row, Store } from '@currantgap/store';
 import type { OwnerContext } from './context.ts';
-import { computePoolLoads, type PoolLoad } from './pool-load.ts';
+import type { PoolLoad } from './pool-load.ts';
 import type { VmKeeper } from './vm-keeper.ts';
 import { VmPhase } from './vm-orders.ts';
 
@@ -70,13 +70,13 @@
   }
 
   /** Plans maintenance within the limits of each wave and reports. */
-  sweep(): void {
+  sweep(getLoads: () => ReadonlyMap<string, PoolLoad>): void {
     const { context, keeper } = this.#options;
     for (const wave of context.getOperatorView().waves) this.#open(wave);
     if (!keeper.isReady) return;
     const vms = new Map([...keeper.vms].map((vm) => [vm.name, vm]));
     for (const progress of this.#waves.values()) {
-      this.#plan(progress, vms);
+      this.#plan(progress, vms, getLoads);
       this.#report(progress, vms);
     }
   }
@@ -92,7 +92,11 @@
     });
   }
 
-  #plan(progress: WaveProgress, vms: ReadonlyMap<string, Vm>): void {
+  #plan(
+    progress: WaveProgress,
+    vms: ReadonlyMap<string, Vm>,
+    getLoads: () => ReadonlyMap<string, PoolLoad>,
+  ): void {
     const { context, keeper } = this.#options;
     const { wave, done, seenAt } = progress;
     let free = wave.concurrency;
@@ -101,7 +105,7 @@
     }
     if (free <= 0) return;
     const services = context.getOperatorView().configuration?.services ?? [];
-    const loads = computePoolLoads(context);
+    const loads = getLoads();
     const due: DueVm[] = [];
     for (const name of wave.vms) {
       const vm = vms.get(name);
--- a/packages/execution/test/advice-desk.test.ts
+++ b/packages/execution/test/advice-desk.test.ts
@@ -4,7 +4,7 @@
 import { AdviceDesk } from '../src/advice-desk.ts';
 import { AdvicePort, type Ticket } from '../src/ports.ts';
 import type { TargetRecord } from '../src/target-record.ts';
-import { ROUTE, TermHarness } from './term-harness.ts';
+import { ROUTE, settle, TermHarness } from './term-harness.ts';
 
 const VALID_MS = 2_000;
 const GUARDED = { ...ROUTE, advice: { validMs: VALID_MS, decideMs: 50, eachMs: 5 } };
@@ -47,10 +47,6 @@
   return targets.map(({ id }) => id);
 }
 
-async function settle(): Promise<void> {
-  await new Promise((resolve) => setImmediate(resolve));
-}
-
 describe('the advice desk', () => {
   it('asks nothing for a route without a policy', async () => {
     const { desk, step, targets, port } = new Desk();
--- a/packages/execution/test/ledger.test.ts
+++ b/packages/execution/test/ledger.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { JobState } from '@currantgap/model';
 import { FENCE_ROW, OWNER_PART } from '@currantgap/ownership';
-import { StoreTrouble } from '@currantgap/standins';
+import { StoreTrouble, waitUntil } from '@currantgap/standins';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { LEDGER_TABLE } from '../src/ledger.ts';
 import { TermHarness } from './term-harness.ts';
@@ -10,10 +10,6 @@
 const ID = '0000000000000001';
 const ROW = { table: LEDGER_TABLE, part: OWNER_PART, key: ID };
 
-async function waitUntil(isTrue: () => boolean): Promise<void> {
-  while (!isTrue()) await sleep(5);
-}
-
 describe('the ledger', () => {
   it('says which generation is written and shows the state only then', async () => {
     const harness = new TermHarness();
--- a/packages/execution/test/sweepers.test.ts
+++ b/packages/execution/test/sweepers.test.ts
@@ -10,7 +10,7 @@
 import { buildAttempt, Orders } from '../src/orders.ts';
 import { Pacer } from '../src/pacer.ts';
 import type { TargetRecord } from '../src/target-record.ts';
-import { createTarget, TermHarness } from './term-harness.ts';
+import { createTarget, settle, TermHarness } from './term-harness.ts';
 
 const DAY_MS = 86_400_000;
 const PERIOD_MS = 6_000;
@@ -28,10 +28,6 @@
   return task;
 }
 
-async function settle(): Promise<void> {
-  await new Promise((resolve) => setImmediate(resolve));
-}
-
 describe('a target that drains', () => {
   function drain(remainingMs: number, steps: readonly Partial<Step>[]): string[] {
     const harness = new TermHarness();
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -18,7 +18,7 @@
 import type { OwnerContext } from '../src/context.ts';
 import { Caution } from '../src/caution.ts';
 import { Fleet } from '../src/fleet.ts';
-import { JobBook, type JobRecord } from '../src/job-book.ts';
+import { getIntakePart, INTAKE_TABLE, JobBook, type JobRecord } from '../src/job-book.ts';
 import { Ledger } from '../src/ledger.ts';
 import type { OwnerMessage } from '../src/messages.ts';
 import { PoolArrivals } from '../src/pool-arrivals.ts';
@@ -181,10 +181,6 @@
         remoteFactor: 2,
         statusMs: 120_000,
         holderChangeMs: 3_000,
-        noticeMs: 4_500,
-        moveMs: 1_500,
-        maintenanceMs: 2_000,
-        harmMs: 4_000,
       },
       targetPort: this.targets,
       fleet: this.fleet,
@@ -229,7 +225,8 @@
   addJob(id: string, steps: readonly Partial<Step>[], isInherited = false): Job {
     const stored = createStoredJob(id, steps);
     const value = JSON.stringify(stored);
-    const row = { table: 'intake', part: 'jobs', key: id, value, version: 1, isDeleted: false };
+    const intake = { table: INTAKE_TABLE, part: getIntakePart(id) };
+    const row = { ...intake, key: id, value, version: 1, isDeleted: false };
     const change = this.context.jobs.applyRow(row);
     if (change === undefined) throw new Error(`job ${id} is known already`);
     const { job } = change;
@@ -264,3 +261,8 @@
 export function createEnded(sequence: number, task: string, run: number, kind: EndKind): EndedRun {
   return { sequence, task, run, kind, checkpoint: '' };
 }
+
+/** Lets answers that have arrived be applied. */
+export async function settle(): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+}
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -23,8 +23,6 @@
   state = JobState.Pending;
   /** A start was ordered for one of its tasks, in this or an earlier term. */
   hasStarted = false;
-  /** It differs from its row in the ledger. */
-  isDirty = false;
   /** Version of its row in the ledger; 0 where there is none. */
   ledgerVersion = 0;
   /** Last state that the ledger holds, shown to callers. */
@@ -111,7 +109,6 @@
     if (kind === EndKind.Done && !isPersistent) return this.#finishTask(task);
     if (!isFailure(kind) || isPersistent) return EndEffect.Retry;
     task.step.recordFailure(task, run);
-    this.isDirty = true;
     if (task.failures < maximumAttempts) return EndEffect.Retry;
     this.state = JobState.Failed;
     return EndEffect.JobFailed;
@@ -121,13 +118,11 @@
   cancel(): boolean {
     if (this.isEnded) return false;
     this.state = JobState.Cancelled;
-    this.isDirty = true;
     return true;
   }
 
   #finishTask(task: TaskRun): EndEffect {
     task.step.finishTask(task);
-    this.isDirty = true;
     const { occurrence } = task.step;
     if (!occurrence.isDone) return EndEffect.TaskDone;
     this.occurrences.delete(occurrence.number);
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -46,17 +46,14 @@
     return this.tasks.filter((task) => task.isWaiting(now));
   }
 
-  /** Marks a task as done; a gang is done as a whole. Tells whether that was news. */
-  finishTask(task: TaskRun): boolean {
+  /** Marks a task as done; a gang is done as a whole. */
+  finishTask(task: TaskRun): void {
     const finished = this.definition.isGang ? this.tasks : [task];
-    let isNews = false;
     for (const member of finished) {
       if (member.isDone) continue;
       member.isDone = true;
       this.openTasks -= 1;
-      isNews = true;
     }
-    return isNews;
   }
 
   /** Records a failed run of a task, or of the gang as a whole; it counts once. */
--- a/packages/node/src/peer.ts
+++ b/packages/node/src/peer.ts
@@ -1,4 +1,4 @@
-import { OwnerAnswer, OwnerPort } from '@currantgap/ingress';
+import { OwnerAnswer, OwnerPort, sendAnswer } from '@currantgap/ingress';
 import { JobState } from '@currantgap/model';
 import type { HttpCaller } from '@currantgap/platform-adapter';
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -74,12 +74,7 @@
 ): void {
   const path = request.url ?? '/';
   const body = owner === undefined ? undefined : answerPeerCall(path, owner);
-  const text = JSON.stringify(body ?? {});
-  response.writeHead(body === undefined ? 503 : 200, {
-    'content-type': 'application/json',
-    'content-length': Buffer.byteLength(text),
-  });
-  response.end(text);
+  sendAnswer(response, { status: body === undefined ? 503 : 200, body }, false);
 }
 
 function answerPeerCall(path: string, owner: OwnerView): unknown {
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -12,7 +12,7 @@
   type Term,
   type TermReport,
 } from '@currantgap/ownership';
-import { MemoryStore, StoreTrouble } from '@currantgap/standins';
+import { MemoryStore, StoreTrouble, waitUntil } from '@currantgap/standins';
 import { Logger, setLogSink } from '@currantgap/telemetry';
 
 setLogSink(() => undefined);
@@ -62,10 +62,6 @@
   }
 }
 
-async function waitUntil(isTrue: () => boolean): Promise<void> {
-  while (!isTrue()) await sleep(5);
-}
-
 /** Writes into the owner's part without a pause; returns how many writes were refused. */
 async function keepBusy(store: MemoryStore, forMs: number): Promise<number> {
   const row = { table: 'ledger', part: OWNER_PART, key: 'job', value: '' };
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -29,13 +29,7 @@
 const REFUSED = 503;
 
 /** What a submission of the soak has become so far. */
-interface Entry {
-  readonly id: string;
-  readonly counts: readonly number[];
-  isRefused: boolean;
-  cancelledAt: number | undefined;
-  state: string | undefined;
-}
+type Entry = { -readonly [Name in keyof Sent]: Sent[Name] };
 
 /** Plays one plan on real processes and checks the promises afterwards. */
 export class Soak {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,3 +9,4 @@
 export * from './run-log.ts';
 export * from './memory-store.ts';
 export * from './platform/index.ts';
+export * from './wait.ts';
--- a/packages/standins/src/platform/target-process.ts
+++ b/packages/standins/src/platform/target-process.ts
@@ -35,7 +35,6 @@
 
 type WireBody = Readonly<Record<string, string | number | undefined>>;
 
-const HEARTBEAT_MS = 300;
 const LOOK_MS = 10;
 const LATE_MS = 1_500;
 const FAILURE_MS = 20;
@@ -57,7 +56,6 @@
   #sequence = 0;
   #token = 0;
   #leaseEnd = Infinity;
-  #heartbeats = 0;
   readonly #timers: NodeJS.Timeout[] = [];
 
   constructor(id: string, service: string, store: MemoryStore, book: RunBook) {
@@ -73,9 +71,6 @@
     await this.listen();
     this.#register();
     this.#timers.push(
-      setInterval(() => {
-        this.#register();
-      }, HEARTBEAT_MS),
       setInterval(() => {
         if (this.#clock > this.#leaseEnd) this.#endAll('lapsed');
       }, LOOK_MS),
@@ -213,8 +208,8 @@
     for (const task of [...this.#running.keys()]) this.#end(task, how);
   }
 
+  /** Writes the entry once: heartbeats would only wake the feeds. */
   #register(): void {
-    this.#heartbeats += 1;
     const entry = {
       service: this.#service,
       address: this.address,
@@ -225,11 +220,9 @@
       cold_remaining_ms: 0,
       capacity: { cpu: CPU_MILLIS, mem_mb: MEMORY_MB, gpu: 0 },
       labels: ['a', 'r1'],
-      sequence: this.#heartbeats,
+      sequence: 1,
       born: this.#bornAt,
     };
-    // Entries are written once: rewriting would only wake the feeds.
-    if (this.#heartbeats > 1) return;
     const put = { table: 'servers', part: '', key: this.id, value: JSON.stringify(entry) };
     void this.#store.commit({ conditions: [], puts: [put], removals: [] });
   }
--- a/packages/store/test/follower.test.ts
+++ b/packages/store/test/follower.test.ts
@@ -1,8 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { MemoryStore, StoreTrouble } from '@currantgap/standins';
+import { MemoryStore, StoreTrouble, waitUntil } from '@currantgap/standins';
 import { Follower, readAll } from '@currantgap/store';
-import { setTimeout as sleep } from 'node:timers/promises';
 
 /** The changes after the last answer are made in this pause. */
 const PAUSE_MS = 100;
@@ -13,10 +12,6 @@
   await store.commit({ conditions: [], puts, removals: [] });
 }
 
-async function waitUntil(isTrue: () => boolean): Promise<void> {
-  while (!isTrue()) await sleep(5);
-}
-
 describe('a follower', () => {
   it('reads the whole table, then its changes, and the whole again when history is gone', async () => {
     const store = new MemoryStore();
