feat(execution): submissions of ended jobs leave the intake, so a successor reads open jobs only

A run that a target reported of a job that the owner did not know had its end acknowledged and forgotten, or ran on. Ruled out: smaller pages (the sum stays), a tombstone in the intake (10,000 rows remain). Change: once the end of a job is stored, its submission moves to a table of ended jobs in one transaction, then its ledger row goes. Ingress nodes write submissions on condition of both tables and answer calls about ended jobs from there. Jobs that targets report and the owner does not know are looked up before an end is acknowledged or a run stopped. Ended rows of earlier owners are purged too.

--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -1,4 +1,5 @@
 export * from './context.ts';
+export * from './intake-tables.ts';
 export * from './job-index.ts';
 export { LEDGER_TABLE } from './ledger.ts';
 export * from './messages.ts';
--- a/packages/execution/src/intake.ts
+++ b/packages/execution/src/intake.ts
@@ -2,6 +2,7 @@
 import { WeightMeter } from '@currantgap/scheduling';
 import type { Row } from '@currantgap/store';
 import { getWallNow, type OwnerContext } from './context.ts';
+import type { JobArchiver } from './job-archiver.ts';
 import type { JobRecord } from './job-index.ts';
 import type { RunOrders } from './run-orders.ts';
 import type { ReportProcessor } from './report-processor.ts';
@@ -11,12 +12,19 @@
   readonly #context: OwnerContext;
   readonly #orders: RunOrders;
   readonly #reportProcessor: ReportProcessor;
+  readonly #archiver: JobArchiver;
   readonly #weights = new WeightMeter();
 
-  constructor(context: OwnerContext, orders: RunOrders, reportProcessor: ReportProcessor) {
-    this.#context = context;
-    this.#orders = orders;
-    this.#reportProcessor = reportProcessor;
+  constructor(options: {
+    readonly context: OwnerContext;
+    readonly orders: RunOrders;
+    readonly reportProcessor: ReportProcessor;
+    readonly archiver: JobArchiver;
+  }) {
+    this.#context = options.context;
+    this.#orders = options.orders;
+    this.#reportProcessor = options.reportProcessor;
+    this.#archiver = options.archiver;
   }
 
   /** Applies rows; `isInherited` marks rows that were written before the term began. */
@@ -39,6 +47,10 @@
     const { active, arrivals, clock, jobs, logger } = this.#context;
     const change = jobs.applyRow(row);
     if (change === undefined) return;
+    if (change.kind === 'orphaned') {
+      void this.#archiver.removeOrphan(change.id);
+      return;
+    }
     const { job } = change;
     logger.writeInfo(`job ${change.kind}`, {
       request: job.id,
@@ -48,7 +60,8 @@
       version: row.version,
     });
     if (change.kind === 'cancelled') this.#cancel(job);
-    else if (!job.isEnded) {
+    else if (job.isEnded) this.#archiver.add(job);
+    else {
       const record = this.#buildRecord(job, isInherited);
       active.set(job.id, record);
       if (!isInherited && record.route !== undefined) {
--- a/packages/execution/src/job-index.ts
+++ b/packages/execution/src/job-index.ts
@@ -2,31 +2,7 @@
 import { describeError, type Route } from '@currantgap/model';
 import type { Row } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
-
-/** Table to which the ingress of each node writes accepted submissions and cancel requests. */
-export const INTAKE_TABLE = 'intake';
-/**
- * Number of parts of the intake table. The store runs the transactions of a part one after another,
- * at most about four a second while it is slow; all nodes together need several times as many.
- */
-const INTAKE_PART_COUNT = 8;
-/** Names of the parts of the intake table. */
-export const INTAKE_PARTS: readonly string[] = Array.from(
-  { length: INTAKE_PART_COUNT },
-  (_, number) => formatPart(number),
-);
-/** Suffix of the key of a cancel request; the submission's id precedes it. */
-const CANCEL_SUFFIX = '/cancel';
-
-/** Gets the key of the intake row that cancels a submission. */
-export function getCancelKey(id: string): string {
-  return `${id}${CANCEL_SUFFIX}`;
-}
-
-/** Gets the intake part of a submission's rows; every node computes the same part. */
-export function getIntakePart(id: string): string {
-  return formatPart(Number.parseInt(id.slice(-1), 16) % INTAKE_PART_COUNT);
-}
+import { findCancelledId, type EndedJob } from './intake-tables.ts';
 
 /** A job with the owner's scheduling data. */
 export interface JobRecord {
@@ -45,11 +21,17 @@
 export type IntakeChange =
   | { readonly kind: 'accepted'; readonly job: Job }
   | { readonly kind: 'cancelled'; readonly job: Job }
+  /** A cancel request of a submission that the intake does not hold, or holds no longer. */
+  | { readonly kind: 'orphaned'; readonly id: string }
   | undefined;
 
 /** All jobs known to the owner, by id. */
 export class JobIndex {
   readonly #jobs = new Map<string, Job>();
+  /** Jobs whose submissions were moved to the table of ended jobs, as far as this owner knows. */
+  readonly #archived = new Map<string, EndedJob>();
+  /** Unix milliseconds at which jobs were found to have been purged, by id. */
+  readonly #purged = new Map<string, number>();
   readonly #ledgerRows = new Map<string, Row>();
   readonly #logger: Logger;
 
@@ -62,29 +44,49 @@
     for (const row of rows) this.#ledgerRows.set(row.key, row);
   }
 
-  /** Finds a job by its submission's id. */
+  /** Finds a job by its submission's id, unless it was archived. */
   find(id: string): Job | undefined {
     return this.#jobs.get(id);
   }
 
-  /** All jobs, in the order in which they were read. */
-  get jobs(): Iterable<Job> {
-    return this.#jobs.values();
+  /** Finds what is kept of an archived job. */
+  findArchived(id: string): EndedJob | undefined {
+    return this.#archived.get(id);
   }
 
-  /** Removes a job from memory; its rows are not touched. */
-  remove(id: string): void {
+  /** All archived jobs by id, in the order in which they were archived. */
+  get archived(): Iterable<[string, EndedJob]> {
+    return this.#archived.entries();
+  }
+
+  /** Replaces a job by what is kept of it; later reads of its submission are ignored. */
+  archive(id: string, ended: EndedJob): void {
     this.#jobs.delete(id);
+    this.#ledgerRows.delete(id);
+    this.#archived.set(id, ended);
+  }
+
+  /** Forgets an archived job; its rows are not touched. */
+  forget(id: string): void {
+    this.#archived.delete(id);
+  }
+
+  /** Records that the store has no rows of a job any more. */
+  recordPurged(id: string, wallNow: number): void {
+    this.#purged.set(id, wallNow);
+  }
+
+  /** Whether a job is known to have ended and to be kept no longer, so that no run is needed. */
+  isGone(id: string): boolean {
+    return this.#archived.has(id) || this.#purged.has(id);
   }
 
   /** Applies an intake row. A row that cannot be decoded is logged and skipped. */
   applyRow(row: Row): IntakeChange {
     if (row.isDeleted) return undefined;
-    if (row.key.endsWith(CANCEL_SUFFIX)) {
-      const job = this.#jobs.get(row.key.slice(0, -CANCEL_SUFFIX.length));
-      return job?.cancel() === true ? { kind: 'cancelled', job } : undefined;
-    }
-    if (this.#jobs.has(row.key)) return undefined;
+    const cancelledId = findCancelledId(row.key);
+    if (cancelledId !== undefined) return this.#applyCancel(cancelledId);
+    if (this.#jobs.has(row.key) || this.#archived.has(row.key)) return undefined;
     try {
       const job = this.#createJob(row);
       this.#jobs.set(job.id, job);
@@ -96,6 +98,12 @@
     }
   }
 
+  #applyCancel(id: string): IntakeChange {
+    const job = this.#jobs.get(id);
+    if (job === undefined) return { kind: 'orphaned', id };
+    return job.cancel() ? { kind: 'cancelled', job } : undefined;
+  }
+
   #createJob(row: Row): Job {
     const job = new Job(decodeStoredJob(row.value));
     const ledger = this.#ledgerRows.get(row.key);
@@ -120,7 +128,3 @@
   if (![occurrence, step, index].every((number) => Number.isInteger(number))) return undefined;
   return { id, occurrence, step, index };
 }
-
-function formatPart(number: number): string {
-  return `jobs-${number}`;
-}
--- a/packages/execution/src/job-purger.ts
+++ b/packages/execution/src/job-purger.ts
@@ -1,14 +1,13 @@
-import { getCancelKey, getIntakePart, INTAKE_TABLE } from './job-index.ts';
+import type { PageSizer, Row, Store } from '@currantgap/store';
 import { getWallNow, type OwnerContext } from './context.ts';
-import { LEDGER_TABLE } from './ledger.ts';
-import { FENCE_ROW, OWNER_PART } from '@currantgap/ownership';
-import type { Store } from '@currantgap/store';
-import type { Job } from '@currantgap/jobs';
+import { decodeEndedJob, ENDED_TABLE, getIntakePart, INTAKE_PARTS } from './intake-tables.ts';
 
-/** Milliseconds between purges. */
-const PURGE_PERIOD_MS = 5_000;
-/** Jobs in one purge: two rows each, and a transaction has at most 100 entries. */
-const JOBS_PER_PURGE = 40;
+/** Milliseconds between purges of the jobs that this owner has archived. */
+const PURGE_PERIOD_MS = 1_000;
+/** Milliseconds between reads of a page of the rows that earlier owners have left. */
+const SCAN_PERIOD_MS = 5_000;
+/** Rows in one purge; a transaction has at most 100 entries. */
+const ROWS_PER_PURGE = 90;
 /** Milliseconds beyond the status retention, since late retries must still find the submission. */
 const RETENTION_MARGIN_MS = 60_000;
 
@@ -16,61 +15,85 @@
 export class JobPurger {
   readonly #context: OwnerContext;
   readonly #store: Store;
+  readonly #pageSizer: PageSizer;
   #nextPurgeAt = 0;
+  #nextScanAt = 0;
+  /** Where the next page of the scan begins. */
+  #cursor = { partIndex: 0, from: '' };
 
-  constructor(context: OwnerContext, store: Store) {
+  constructor(context: OwnerContext, store: Store, pageSizer: PageSizer) {
     this.#context = context;
     this.#store = store;
+    this.#pageSizer = pageSizer;
+    this.#nextScanAt = context.clock.now + SCAN_PERIOD_MS;
   }
 
-  /** Purges one batch of expired jobs if a purge is due. */
+  /** Purges one batch of expired jobs, and looks for those of earlier owners, if this is due. */
   sweep(): void {
-    const { bounds, clock, jobs } = this.#context;
-    if (clock.now < this.#nextPurgeAt) return;
-    this.#nextPurgeAt = clock.now + PURGE_PERIOD_MS;
-    const retainedSince = getWallNow() - bounds.statusMs - RETENTION_MARGIN_MS;
-    const expired: Job[] = [];
-    for (const job of jobs.jobs) {
-      if (!job.isEnded || job.endedAt === 0 || job.endedAt >= retainedSince) continue;
+    const { now } = this.#context.clock;
+    if (now >= this.#nextPurgeAt) {
+      this.#nextPurgeAt = now + PURGE_PERIOD_MS;
+      this.#removeArchived();
+    }
+    if (now >= this.#nextScanAt) {
+      this.#nextScanAt = now + SCAN_PERIOD_MS;
+      void this.#scanPage();
+    }
+  }
+
+  #removeArchived(): void {
+    const expired: string[] = [];
+    for (const [id, { endedAt }] of this.#context.jobs.archived) {
+      if (!this.#isExpired(endedAt)) continue;
       // A transaction changes one part only: jobs of other parts are purged in later sweeps.
-      const [first = job] = expired;
-      if (getIntakePart(job.id) === getIntakePart(first.id)) expired.push(job);
-      if (expired.length === JOBS_PER_PURGE) break;
+      const [first = id] = expired;
+      if (getIntakePart(id) === getIntakePart(first)) expired.push(id);
+      if (expired.length === ROWS_PER_PURGE) break;
     }
     const [first] = expired;
-    if (first !== undefined) void this.#remove(expired, getIntakePart(first.id));
+    if (first !== undefined) void this.#remove(getIntakePart(first), expired);
+  }
+
+  /** Reads the next page of all ended jobs; the pages of all parts are read in turn. */
+  async #scanPage(): Promise<void> {
+    const { partIndex, from } = this.#cursor;
+    const part = INTAKE_PARTS[partIndex] ?? '';
+    const limit = Math.min(ROWS_PER_PURGE, this.#pageSizer.rows);
+    const page = await this.#store.read({ table: ENDED_TABLE, part, from, limit });
+    if (page.isErr()) return;
+    const { rows, hasMore } = page.value;
+    this.#cursor = hasMore
+      ? { partIndex, from: `${rows.at(-1)?.key ?? ''}\0` }
+      : { partIndex: (partIndex + 1) % INTAKE_PARTS.length, from: '' };
+    const expired = rows.filter((row) => this.#isRowExpired(row)).map(({ key }) => key);
+    if (expired.length > 0) await this.#remove(part, expired);
+  }
+
+  #isExpired(endedAt: number): boolean {
+    return endedAt < getWallNow() - this.#context.bounds.statusMs - RETENTION_MARGIN_MS;
+  }
+
+  #isRowExpired({ key, value }: Row): boolean {
+    const ended = decodeEndedJob(value);
+    if (ended === undefined) {
+      this.#context.logger.writeError('row of an ended job not decodable', { id: key });
+      return false;
+    }
+    return this.#isExpired(ended.endedAt);
   }
 
-  /**
-   * Removes the submissions first: if the second transaction fails, only ledger rows without a
-   * submission are left over.
-   */
-  async #remove(expired: readonly Job[], part: string): Promise<void> {
-    const { jobs, logger, term } = this.#context;
-    const intake = { table: INTAKE_TABLE, part };
-    const submissions = await this.#store.commit({
+  async #remove(part: string, ids: readonly string[]): Promise<void> {
+    const { jobs, logger } = this.#context;
+    const result = await this.#store.commit({
       conditions: [],
       puts: [],
-      removals: expired.flatMap(({ id }) => [
-        { ...intake, key: id },
-        { ...intake, key: getCancelKey(id) },
-      ]),
+      removals: ids.map((id) => ({ table: ENDED_TABLE, part, key: id })),
     });
-    if (submissions.isErr()) {
-      logger.writeWarning('expired jobs not purged', { reason: submissions.error.message });
+    if (result.isErr()) {
+      logger.writeWarning('expired jobs not purged', { reason: result.error.message });
       return;
     }
-    const progress = await this.#store.commit({
-      conditions: [{ ...FENCE_ROW, version: term.fenceVersion }],
-      puts: [],
-      removals: expired.map(({ id }) => ({ table: LEDGER_TABLE, part: OWNER_PART, key: id })),
-    });
-    if (progress.isErr()) {
-      logger.writeWarning('ledger rows of expired jobs not purged', {
-        reason: progress.error.message,
-      });
-    }
-    for (const { id } of expired) jobs.remove(id);
-    logger.writeInfo('expired jobs purged', { jobs: expired.length });
+    for (const id of ids) jobs.forget(id);
+    logger.writeInfo('expired jobs purged', { jobs: ids.length });
   }
 }
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -52,7 +52,7 @@
   /** Records the ledger change that must be stored before the applied ends are acknowledged. */
   recordApplied(target: TargetRecord, changeNumber: number): void {
     this.#acknowledger.recordApplied(target, changeNumber);
-    target.retryAcknowledgementAt = this.#acknowledger.isWaiting(target.id)
+    target.retryAcknowledgementAt = this.#hasUnacknowledgedEnds(target)
       ? this.#context.clock.now + UNACKNOWLEDGED_PAUSE_MS
       : 0;
   }
@@ -82,12 +82,16 @@
     });
   }
 
+  /** Whether the target's next answer would list ended runs that it has listed before. */
+  #hasUnacknowledgedEnds(target: TargetRecord): boolean {
+    return target.hasUnappliedEnds || this.#acknowledger.isWaiting(target.id);
+  }
+
   #sendIfDue(target: TargetRecord): void {
     const { partitionGuard, clock, fleet, post, targetPort, term } = this.#context;
     const { now } = clock;
     if (target.isRenewalInFlight || now < target.renewNotBefore) return;
     if (now < target.retryAcknowledgementAt) return;
-    const hasUnacknowledgedEnds = this.#acknowledger.isWaiting(target.id);
     if (!target.isRegistered && target.assignmentCount === 0) {
       fleet.forget(target);
       return;
@@ -102,7 +106,7 @@
         isClockKnown && !partitionGuard.shouldPause()
           ? target.grantLease(getLeaseMs(this.#context.bounds), now)
           : undefined,
-      waitMs: isClockKnown && !hasUnacknowledgedEnds ? LONG_POLL_MS : 0,
+      waitMs: isClockKnown && !this.#hasUnacknowledgedEnds(target) ? LONG_POLL_MS : 0,
     };
     void targetPort.renewLeases(target.address, order).then((report) => {
       post({ kind: 'held', target, sentAt: now, report });
--- a/packages/execution/src/ledger.ts
+++ b/packages/execution/src/ledger.ts
@@ -5,20 +5,33 @@
 /** Table with the progress of each job, written by the owner. */
 export const LEDGER_TABLE = 'ledger';
 
+/** Options of a ledger. */
+export interface LedgerOptions extends Omit<FencedWriterOptions, 'table'> {
+  /** Called when the store has the final state of a job. */
+  readonly onEndStored: (job: Job) => void;
+}
+
 /** Writes the progress of jobs; a change is durable once `onWritten` has reported its number. */
 export class Ledger {
   readonly #writer: FencedWriter;
   readonly #rows = new Map<Job, JobRow>();
+  readonly #onEndStored: (job: Job) => void;
 
-  constructor(options: Omit<FencedWriterOptions, 'table'>) {
+  constructor({ onEndStored, ...options }: LedgerOptions) {
     this.#writer = new FencedWriter({ ...options, table: LEDGER_TABLE });
+    this.#onEndStored = onEndStored;
   }
 
   /** Enqueues a changed job; returns the number of the change. */
   add(job: Job): number {
-    const row = this.#rows.get(job) ?? new JobRow(job);
-    this.#rows.set(job, row);
-    return this.#writer.add(row);
+    return this.#writer.add(this.#getRow(job));
+  }
+
+  /** Removes the row of an archived job. */
+  remove(job: Job): void {
+    const row = this.#getRow(job);
+    row.isRemoved = true;
+    this.#writer.add(row);
   }
 
   /** Writes pending changes now instead of after the batch delay; resolves after one attempt. */
@@ -30,16 +43,31 @@
   stop(): void {
     this.#writer.stop();
   }
+
+  #getRow(job: Job): JobRow {
+    const known = this.#rows.get(job);
+    if (known !== undefined) return known;
+    const created = new JobRow(job, () => {
+      if (created.isRemoved) this.#rows.delete(job);
+      else if (job.isEnded) this.#onEndStored(job);
+    });
+    this.#rows.set(job, created);
+    return created;
+  }
 }
 
 /** The ledger row of one job. */
 class JobRow extends FencedRow {
+  /** Whether the row is to be removed, since the job was archived. */
+  isRemoved = false;
   readonly #job: Job;
+  readonly #onStored: () => void;
   #encodedState = JobState.Pending;
 
-  constructor(job: Job) {
+  constructor(job: Job, onStored: () => void) {
     super();
     this.#job = job;
+    this.#onStored = onStored;
   }
 
   get key(): string {
@@ -54,12 +82,13 @@
     this.#job.ledgerVersion = version;
   }
 
-  encode(): string {
+  encode(): string | undefined {
     this.#encodedState = this.#job.state;
-    return encodeLedgerRow(this.#job);
+    return this.isRemoved ? undefined : encodeLedgerRow(this.#job);
   }
 
   handleStored(): void {
     this.#job.storedState = this.#encodedState;
+    if (this.#encodedState === this.#job.state) this.#onStored();
   }
 }
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -13,7 +13,10 @@
 import { Fleet } from './fleet.ts';
 import { LeaseRenewer } from './lease-renewer.ts';
 import { Intake } from './intake.ts';
-import { INTAKE_PARTS, INTAKE_TABLE, JobIndex, type JobRecord } from './job-index.ts';
+import { INTAKE_PARTS, INTAKE_TABLE } from './intake-tables.ts';
+import { JobArchiver } from './job-archiver.ts';
+import { JobIndex, type JobRecord } from './job-index.ts';
+import { JobLookup } from './job-lookup.ts';
 import { Ledger, LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import { getLeaseMs, isUncertain, RunOrders } from './run-orders.ts';
@@ -88,6 +91,7 @@
   readonly #registry: RegistryReader;
   readonly #planner: Planner;
   readonly #advice: AdviceCache;
+  readonly #archiver: JobArchiver;
   readonly #sweepers: readonly { sweep(): void }[];
   readonly #vmManager: VmManager | undefined;
   readonly #intake: Intake;
@@ -101,8 +105,10 @@
     super();
     this.#options = options;
     this.#context = this.#buildContext();
+    this.#archiver = new JobArchiver(this.#context, options.store);
     this.#orders = new RunOrders(this.#context);
-    this.#reportProcessor = new ReportProcessor(this.#context, this.#orders);
+    const lookup = new JobLookup(this.#context, options.store);
+    this.#reportProcessor = new ReportProcessor(this.#context, this.#orders, lookup);
     this.#leaseRenewer = new LeaseRenewer(this.#context);
     this.#registry = new RegistryReader(this.#context, options.registry);
     this.#advice = new AdviceCache(this.#context, options.advicePort);
@@ -111,10 +117,17 @@
       this.#advice,
       new Drainer(this.#context, this.#orders),
       new Pacer(this.#context),
-      new JobPurger(this.#context, options.store),
+      lookup,
+      this.#archiver,
+      new JobPurger(this.#context, options.store, options.pageSizer),
       new LoadReporter(this.#context),
     ];
-    this.#intake = new Intake(this.#context, this.#orders, this.#reportProcessor);
+    this.#intake = new Intake({
+      context: this.#context,
+      orders: this.#orders,
+      reportProcessor: this.#reportProcessor,
+      archiver: this.#archiver,
+    });
     this.#vmManager = this.#buildVmManager();
   }
 
@@ -158,8 +171,9 @@
    * A job that has completed or failed is reported as running until that state is in the store.
    */
   findState(id: string): JobState | undefined {
-    const job = this.#context.jobs.find(id);
-    if (job === undefined) return undefined;
+    const { jobs } = this.#context;
+    const job = jobs.find(id);
+    if (job === undefined) return jobs.findArchived(id)?.state;
     if (!job.isEnded) return job.hasStarted ? JobState.Running : JobState.Pending;
     const isStored = job.storedState === job.state;
     return isStored || job.state === JobState.Cancelled ? job.state : JobState.Running;
@@ -239,6 +253,9 @@
         post({ kind: 'written', changeNumber });
       },
       onFenced,
+      onEndStored: (job) => {
+        this.#archiver.add(job);
+      },
     });
     const leaseMs = getLeaseMs(bounds) / MINIMUM_CLOCK_RATE;
     const fleet = new Fleet();
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -2,6 +2,7 @@
 import { EndKind } from '@currantgap/model';
 import { getMaximumAttempts, getWallNow, type OwnerContext } from './context.ts';
 import { parseTaskName } from './job-index.ts';
+import type { JobLookup } from './job-lookup.ts';
 import { buildAttempt, type RunOrders } from './run-orders.ts';
 import type { ActiveRun, EndedRun, TargetReport } from './ports.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
@@ -13,10 +14,12 @@
 export class ReportProcessor {
   readonly #context: OwnerContext;
   readonly #orders: RunOrders;
+  readonly #lookup: JobLookup;
 
-  constructor(context: OwnerContext, orders: RunOrders) {
+  constructor(context: OwnerContext, orders: RunOrders, lookup: JobLookup) {
     this.#context = context;
     this.#orders = orders;
+    this.#lookup = lookup;
   }
 
   /**
@@ -39,9 +42,12 @@
     let changeNumber = 0;
     for (const ended of report.ended) {
       if (ended.sequence <= target.appliedThrough) continue;
+      // The end of a run must not be acknowledged before its job is known.
+      if (this.#isJobUnknown(ended.task)) break;
       target.appliedThrough = ended.sequence;
       changeNumber = Math.max(changeNumber, this.#applyEnded(target, ended));
     }
+    target.hasUnappliedEnds = (report.ended.at(-1)?.sequence ?? 0) > target.appliedThrough;
     const listedAssignments = new Set<Assignment>();
     for (const running of report.running) {
       const assignment = this.#applyRunning(target, running);
@@ -94,12 +100,13 @@
     return assignment;
   }
 
-  /** Assigns a run that an earlier term started. */
+  /** Assigns a run that an earlier term started, or stops it if its job or occurrence has ended. */
   #adopt(target: TargetRecord, running: ActiveRun): Assignment | undefined {
     const { clock, fleet, logger } = this.#context;
+    if (this.#isJobUnknown(running.task)) return undefined;
     const task = this.#findTask(running.task);
     if (task === undefined) {
-      logger.writeWarning('run of no known task', { task: running.task, target: target.id });
+      this.#orders.stopUnneeded(target, running);
       return undefined;
     }
     const attempt = buildAttempt(target, running.run, AttemptPhase.Running, clock.now);
@@ -226,6 +233,15 @@
     });
   }
 
+  /** Whether neither the job of a task nor its end is known yet; requests a lookup then. */
+  #isJobUnknown(taskName: string): boolean {
+    const id = parseTaskName(taskName)?.id;
+    const { jobs } = this.#context;
+    if (id === undefined || jobs.find(id) !== undefined || jobs.isGone(id)) return false;
+    this.#lookup.request(id);
+    return true;
+  }
+
   #findTask(name: string): TaskRun | undefined {
     const path = parseTaskName(name);
     if (path === undefined) return undefined;
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -1,6 +1,6 @@
 import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
 import type { OwnerBounds, OwnerContext } from './context.ts';
-import { OrderOutcome, StartOutcome } from './ports.ts';
+import { OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 
 /** Milliseconds until the deadline of a start and lease expiry: long enough for a take-over. */
@@ -87,6 +87,16 @@
     if (target !== undefined) this.#sendStop(target, assignment);
   }
 
+  /**
+   * Stops a run of a job or occurrence that has ended. The run is not assigned: as long as the target
+   * reports it, it is stopped again.
+   */
+  stopUnneeded(target: TargetRecord, { task, run }: ActiveRun): void {
+    const { logger, targetPort, term } = this.#context;
+    logger.writeWarning('unneeded run stopped', { task, run, target: target.id });
+    void targetPort.stop(target.address, { task, run, token: term.token });
+  }
+
   /** Applies the outcome of a start order. */
   applyStartOutcome(target: TargetRecord, assignment: Assignment, outcome: StartOutcome): void {
     const { clock, logger } = this.#context;
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -26,6 +26,8 @@
   acknowledgedThrough = 0;
   /** Highest sequence of ended runs that have been applied. */
   appliedThrough = 0;
+  /** Whether the last report listed ended runs that could not be applied yet. */
+  hasUnappliedEnds = false;
   /**
    * Whether another incarnation may answer. The next lease renewal then acknowledges no ended runs.
    */
--- a/packages/execution/test/report-processor.test.ts
+++ b/packages/execution/test/report-processor.test.ts
@@ -2,21 +2,32 @@
 import { describe, it } from 'node:test';
 import { AttemptPhase } from '@currantgap/jobs';
 import { EndKind, JobState } from '@currantgap/model';
+import { StoreFailure } from '@currantgap/standins';
 import { RunOrders, takeRunNumber } from '../src/run-orders.ts';
 import { StartOutcome } from '../src/ports.ts';
+import { encodeEndedJob, ENDED_TABLE, getIntakePart, INTAKE_TABLE } from '../src/intake-tables.ts';
+import { JobLookup } from '../src/job-lookup.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
 import type { TargetRecord } from '../src/target-record.ts';
-import { createEnded, createReport, createRunning, TermHarness } from './term-harness.ts';
+import {
+  createEnded,
+  createReport,
+  createRunning,
+  flushPromises,
+  TermHarness,
+} from './term-harness.ts';
 
 function createParts(harness = new TermHarness()): {
   harness: TermHarness;
   orders: RunOrders;
+  lookup: JobLookup;
   reportProcessor: ReportProcessor;
   target: TargetRecord;
 } {
   const orders = new RunOrders(harness.context);
-  const reportProcessor = new ReportProcessor(harness.context, orders);
-  return { harness, orders, reportProcessor, target: harness.addTarget('t1') };
+  const lookup = new JobLookup(harness.context, harness.store);
+  const reportProcessor = new ReportProcessor(harness.context, orders, lookup);
+  return { harness, orders, lookup, reportProcessor, target: harness.addTarget('t1') };
 }
 
 function start(parts: ReturnType<typeof createParts>, outcome = StartOutcome.Accepted) {
@@ -145,4 +156,73 @@
       assert.deepEqual([target.appliedThrough, target.acknowledgedThrough], [0, 0]);
     });
   });
+
+  describe('with a run of a job that this owner has not read', () => {
+    const ID = '00000000000000a1';
+    const TASK = `${ID}.0.0.0`;
+    const report = createReport({
+      running: [createRunning(`${ID}.0.0.1`, 4)],
+      ended: [createEnded(1, TASK, 3, EndKind.Done)],
+    });
+
+    async function lookUp(parts: ReturnType<typeof createParts>): Promise<void> {
+      parts.lookup.sweep();
+      await flushPromises();
+    }
+
+    it('acknowledges no end and stops nothing while the submission may still arrive', async () => {
+      const parts = createParts();
+      const { harness, reportProcessor, target } = parts;
+      const row = { table: INTAKE_TABLE, part: getIntakePart(ID), key: ID, value: 'any' };
+      await harness.store.commit({ conditions: [], puts: [row], removals: [] });
+      reportProcessor.apply(target, report, harness.now);
+      await lookUp(parts);
+      reportProcessor.apply(target, report, harness.now);
+      assert.equal(target.appliedThrough, 0);
+      assert.ok(target.hasUnappliedEnds);
+      assert.deepEqual(harness.targetPort.stops, []);
+      harness.addJob(ID, [{ count: 2 }]);
+      reportProcessor.apply(target, report, harness.now);
+      assert.equal(target.appliedThrough, 1);
+      assert.equal(target.assignmentCount, 1);
+    });
+
+    it('stops the run and skips the end of a job that was archived in an earlier term', async () => {
+      const parts = createParts();
+      const { harness, reportProcessor, target } = parts;
+      const value = encodeEndedJob({ state: JobState.Cancelled, endedAt: 5 });
+      const row = { table: ENDED_TABLE, part: getIntakePart(ID), key: ID, value };
+      await harness.store.commit({ conditions: [], puts: [row], removals: [] });
+      reportProcessor.apply(target, report, harness.now);
+      await lookUp(parts);
+      reportProcessor.apply(target, report, harness.now);
+      assert.equal(target.appliedThrough, 1);
+      assert.equal(target.hasUnappliedEnds, false);
+      assert.deepEqual(
+        harness.targetPort.stops.map(({ task, run }) => [task, run]),
+        [[`${ID}.0.0.1`, 4]],
+      );
+    });
+
+    it('stops the run of a job whose rows were purged', async () => {
+      const parts = createParts();
+      const { harness, reportProcessor, target } = parts;
+      reportProcessor.apply(target, report, harness.now);
+      await lookUp(parts);
+      reportProcessor.apply(target, report, harness.now);
+      assert.equal(target.appliedThrough, 1);
+      assert.equal(harness.targetPort.stops.length, 1);
+    });
+
+    it('waits while the store cannot be read', async () => {
+      const parts = createParts();
+      const { harness, reportProcessor, target } = parts;
+      harness.store.failure = StoreFailure.Down;
+      reportProcessor.apply(target, report, harness.now);
+      await lookUp(parts);
+      reportProcessor.apply(target, report, harness.now);
+      assert.equal(target.appliedThrough, 0);
+      assert.deepEqual(harness.targetPort.stops, []);
+    });
+  });
 });
--- a/packages/execution/test/sweepers.test.ts
+++ b/packages/execution/test/sweepers.test.ts
@@ -2,11 +2,15 @@
 import { describe, it } from 'node:test';
 import { AttemptPhase, type TaskRun } from '@currantgap/jobs';
 import { JobState, TargetState, type Step } from '@currantgap/model';
-import { OWNER_PART } from '@currantgap/ownership';
+import { PageSizer } from '@currantgap/store';
 import { JobPurger } from '../src/job-purger.ts';
 import { Drainer } from '../src/drainer.ts';
-import { getCancelKey, getIntakePart, INTAKE_TABLE } from '../src/job-index.ts';
-import { LEDGER_TABLE } from '../src/ledger.ts';
+import {
+  decodeEndedJob,
+  encodeEndedJob,
+  ENDED_TABLE,
+  getIntakePart,
+} from '../src/intake-tables.ts';
 import { buildAttempt, RunOrders } from '../src/run-orders.ts';
 import { Pacer } from '../src/pacer.ts';
 import type { TargetRecord } from '../src/target-record.ts';
@@ -102,38 +106,58 @@
 });
 
 describe('the rows of expired jobs', () => {
-  it('are removed part by part after the status retention, and rows of other jobs stay', async () => {
+  const ids = ['00000000000000a0', '00000000000000a1', '00000000000000a8', '00000000000000b0'];
+  const getRow = (id: string) => ({ table: ENDED_TABLE, part: getIntakePart(id), key: id });
+
+  async function createEndedJobs(): Promise<TermHarness> {
     const harness = new TermHarness();
-    await harness.writeFence();
-    const ids = ['00000000000000a0', '00000000000000a1', '00000000000000a8', '00000000000000b0'];
     for (const id of ids) {
-      const intake = { table: INTAKE_TABLE, part: getIntakePart(id), value: '{}' };
-      const puts = [
-        { ...intake, key: id },
-        { ...intake, key: getCancelKey(id) },
-      ];
-      await harness.store.commit({ conditions: [], puts, removals: [] });
-      const row = { table: LEDGER_TABLE, part: OWNER_PART, key: id, value: '{}' };
-      await harness.store.commit({ conditions: [], puts: [row], removals: [] });
-      const job = harness.addJob(id, [{}]);
-      job.state = JobState.Completed;
-      job.endedAt = id.endsWith('b0') ? Date.now() : Date.now() - DAY_MS;
-    }
-    const purger = new JobPurger(harness.context, harness.store);
-    const listRemaining = (): string[] =>
-      ids.filter((id) => {
-        const key = { table: INTAKE_TABLE, part: getIntakePart(id), key: id };
-        return harness.store.peek(key) !== undefined;
+      const endedAt = id.endsWith('b0') ? Date.now() : Date.now() - DAY_MS;
+      const value = encodeEndedJob({ state: JobState.Completed, endedAt });
+      await harness.store.commit({
+        conditions: [],
+        puts: [{ ...getRow(id), value }],
+        removals: [],
       });
+    }
+    return harness;
+  }
+
+  function listRemaining(harness: TermHarness): string[] {
+    return ids.filter((id) => harness.store.peek(getRow(id)) !== undefined);
+  }
+
+  it('are removed part by part after the status retention, and rows of other jobs stay', async () => {
+    const harness = await createEndedJobs();
+    for (const id of ids) {
+      const ended = decodeEndedJob(harness.store.peek(getRow(id))?.value ?? '');
+      assert.ok(ended);
+      harness.context.jobs.archive(id, ended);
+    }
+    const purger = new JobPurger(harness.context, harness.store, new PageSizer());
     purger.sweep();
     await flushPromises();
-    assert.deepEqual(listRemaining(), ['00000000000000a1', '00000000000000b0']);
+    assert.deepEqual(listRemaining(harness), ['00000000000000a1', '00000000000000b0']);
     harness.advance(PERIOD_MS);
     purger.sweep();
     await flushPromises();
-    assert.deepEqual(listRemaining(), ['00000000000000b0']);
-    const [first = ''] = ids;
-    const progress = { table: LEDGER_TABLE, part: OWNER_PART, key: first };
-    assert.equal(harness.store.peek(progress), undefined);
+    assert.deepEqual(listRemaining(harness), ['00000000000000b0']);
+    assert.deepEqual(
+      [...harness.context.jobs.archived].map(([id]) => id),
+      ['00000000000000b0'],
+    );
+  });
+
+  it('are found and removed also if an earlier owner archived them', async () => {
+    const harness = await createEndedJobs();
+    const malformed = { ...getRow('00000000000000c0'), value: '{' };
+    await harness.store.commit({ conditions: [], puts: [malformed], removals: [] });
+    const purger = new JobPurger(harness.context, harness.store, new PageSizer());
+    for (let period = 0; period < 10; period += 1) {
+      harness.advance(PERIOD_MS);
+      purger.sweep();
+      await flushPromises();
+    }
+    assert.deepEqual(listRemaining(harness), ['00000000000000b0']);
   });
 });
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -18,7 +18,8 @@
 import type { OwnerContext } from '../src/context.ts';
 import { PartitionGuard } from '../src/partition-guard.ts';
 import { Fleet } from '../src/fleet.ts';
-import { getIntakePart, INTAKE_TABLE, JobIndex, type JobRecord } from '../src/job-index.ts';
+import { getIntakePart, INTAKE_TABLE } from '../src/intake-tables.ts';
+import { JobIndex, type JobRecord } from '../src/job-index.ts';
 import { Ledger } from '../src/ledger.ts';
 import type { OwnerMessage } from '../src/messages.ts';
 import { PoolArrivals } from '../src/pool-arrivals.ts';
@@ -159,6 +160,8 @@
   readonly messages: OwnerMessage[] = [];
   readonly deposeReasons: string[] = [];
   readonly writtenChanges: number[] = [];
+  /** Jobs whose end was stored in the ledger. */
+  readonly endedJobs: Job[] = [];
   readonly context: OwnerContext;
   readonly fleet = new Fleet();
   hasValidLease = true;
@@ -203,6 +206,7 @@
         term,
         logger,
         onWritten: (changeNumber) => this.writtenChanges.push(changeNumber),
+        onEndStored: (job) => this.endedJobs.push(job),
         onFenced,
       }),
       durations: new DurationModel(),
@@ -240,7 +244,7 @@
     const intake = { table: INTAKE_TABLE, part: getIntakePart(id) };
     const row = { ...intake, key: id, value, version: 1, isDeleted: false };
     const change = this.context.jobs.applyRow(row);
-    if (change === undefined) throw new Error(`job ${id} has already been added`);
+    if (change?.kind !== 'accepted') throw new Error(`job ${id} has already been added`);
     const { job } = change;
     this.context.active.set(id, {
       job,
--- a/packages/forwarding/test/harness.ts
+++ b/packages/forwarding/test/harness.ts
@@ -1,5 +1,4 @@
-import type {
-  LeaseRenewalFault} from '@currantgap/execution';
+import type { LeaseRenewalFault } from '@currantgap/execution';
 import {
   OrderOutcome,
   StartOutcome,
--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -1,4 +1,4 @@
-import { getCancelKey, getIntakePart, INTAKE_TABLE } from '@currantgap/execution';
+import { ENDED_TABLE, getCancelKey, getIntakePart, INTAKE_TABLE } from '@currantgap/execution';
 import { encodeStoredJob } from '@currantgap/jobs';
 import {
   createFault,
@@ -15,7 +15,7 @@
 import { readBody, sendResponse, type JsonResponse } from './exchange.ts';
 import { IntakeWriter, WriteOutcome } from './intake-writer.ts';
 import type { RouteMatch, RouteTable } from './route-table.ts';
-import { LookupFault, StateReader, type OwnerPort } from './state-reader.ts';
+import { LookupFault, OPEN, StateReader, type OwnerPort } from './state-reader.ts';
 
 /** Value of `retry-after` in seconds; during an outage the retries probe the store at this rate. */
 const RETRY_AFTER_S = 1;
@@ -175,10 +175,11 @@
     const submission = this.#options.decodeSubmission(body.value);
     if (submission.isErr()) return buildFaultResponse(400, submission.error);
     const id = call.suffix;
+    const part = getIntakePart(id);
     const outcome = await this.#writer.write({
       row: {
         table: INTAKE_TABLE,
-        part: getIntakePart(id),
+        part,
         key: id,
         value: encodeStoredJob({
           id,
@@ -188,7 +189,7 @@
           submission: submission.value,
         }),
       },
-      isNew: true,
+      absent: [INTAKE_TABLE, ENDED_TABLE].map((table) => ({ table, part, key: id })),
       deadline: call.deadline,
     });
     this.#reportOutcome('submission', call, outcome);
@@ -204,12 +205,13 @@
 
   async #cancel(call: Call): Promise<JsonResponse> {
     const id = call.suffix;
-    const isStored = await this.#stateReader.isStored(id);
-    if (isStored === LookupFault.Unavailable) return buildUnavailable('The cancel was not stored.');
-    if (!isStored) return buildNotFound();
+    const storage = await this.#stateReader.findStorage(id);
+    if (storage === LookupFault.Unavailable) return buildUnavailable('The cancel was not stored.');
+    if (storage === LookupFault.NotFound) return buildNotFound();
+    if (storage !== OPEN) return { status: 200, body: { state: storage } };
     const outcome = await this.#writer.write({
       row: { table: INTAKE_TABLE, part: getIntakePart(id), key: getCancelKey(id), value: '' },
-      isNew: false,
+      absent: [],
       deadline: call.deadline,
     });
     this.#reportOutcome('cancel', call, outcome);
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -2,8 +2,8 @@
 import type { Logger } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
 
-/** Each row takes a condition and a put; the store accepts at most 100 entries per transaction. */
-const ROWS_PER_TRANSACTION = 40;
+/** Each row takes two conditions and a put; the store accepts at most 100 entries per transaction. */
+const ROWS_PER_TRANSACTION = 30;
 /** Bytes of values per transaction, well below the 1 MB that the store's protocol allows. */
 const BYTES_PER_TRANSACTION = 400_000;
 /**
@@ -36,8 +36,8 @@
 /** A row to write before a deadline. */
 export interface IntakeWrite {
   readonly row: RowKey & { readonly value: string };
-  /** Whether the write requires that the row does not exist yet. */
-  readonly isNew: boolean;
+  /** Rows that must not exist yet; empty if the write has no condition. */
+  readonly absent: readonly RowKey[];
   /** Monotonic time (`performance.now()`) at which the caller stops waiting, in milliseconds. */
   readonly deadline: number;
 }
@@ -146,9 +146,7 @@
   async #commit(batch: readonly PendingWrite[]): Promise<void> {
     for (const write of batch) write.attempts += 1;
     const result = await this.#store.commit({
-      conditions: batch
-        .filter(({ isNew }) => isNew)
-        .map(({ row: { table, part, key } }) => ({ table, part, key, version: 0 })),
+      conditions: batch.flatMap(({ absent }) => absent.map((key) => ({ ...key, version: 0 }))),
       puts: batch.map(({ row }) => row),
       removals: [],
     });
--- a/packages/ingress/src/state-reader.ts
+++ b/packages/ingress/src/state-reader.ts
@@ -1,4 +1,11 @@
-import { getCancelKey, getIntakePart, INTAKE_TABLE, LEDGER_TABLE } from '@currantgap/execution';
+import {
+  decodeEndedJob,
+  ENDED_TABLE,
+  getCancelKey,
+  getIntakePart,
+  INTAKE_TABLE,
+  LEDGER_TABLE,
+} from '@currantgap/execution';
 import { readLedgerState } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
 import { OWNER_PART } from '@currantgap/ownership';
@@ -28,6 +35,9 @@
   Unavailable = 'unavailable',
 }
 
+/** Marks a submission that the intake holds, so that it may not have ended yet. */
+export const OPEN = Symbol('open');
+
 /** Reads the state of submissions from the owner, or from the store if the owner has none. */
 export class StateReader {
   readonly #owner: OwnerPort;
@@ -45,15 +55,17 @@
     return this.#readState(id);
   }
 
-  /** Whether the store has a submission. */
-  async isStored(id: string): Promise<boolean | LookupFault.Unavailable> {
+  /** Finds whether the store has a submission: as open, or with the state in which it ended. */
+  async findStorage(id: string): Promise<JobState | typeof OPEN | LookupFault> {
     const keys = await this.#readIntakeKeys(id);
-    return keys === undefined ? LookupFault.Unavailable : keys.includes(id);
+    if (keys === undefined) return LookupFault.Unavailable;
+    return keys.includes(id) ? OPEN : this.#readEndedState(id);
   }
 
   /**
-   * Reads the ledger before the intake table: a state in the ledger was true when it was written,
-   * and a state never moves backwards.
+   * Reads the ledger, then the intake, then the ended jobs, which is the order in which the owner
+   * moves a submission: a state in the ledger was true when it was written, and a state never moves
+   * backwards.
    */
   async #readState(id: string): Promise<JobState | LookupFault> {
     const page = await this.#store.read({
@@ -69,11 +81,25 @@
       return state;
     const keys = await this.#readIntakeKeys(id);
     if (keys === undefined) return LookupFault.Unavailable;
-    if (!keys.includes(id)) return LookupFault.NotFound;
+    if (!keys.includes(id)) return this.#readEndedState(id);
     if (keys.includes(getCancelKey(id))) return JobState.Cancelled;
     return state === undefined ? JobState.Pending : JobState.Running;
   }
 
+  /** Reads the state in which a submission ended. */
+  async #readEndedState(id: string): Promise<JobState | LookupFault> {
+    const page = await this.#store.read({
+      table: ENDED_TABLE,
+      part: getIntakePart(id),
+      from: id,
+      limit: 1,
+    });
+    if (page.isErr()) return LookupFault.Unavailable;
+    const row = page.value.rows.find(({ key }) => key === id);
+    if (row === undefined) return LookupFault.NotFound;
+    return decodeEndedJob(row.value)?.state ?? LookupFault.Unavailable;
+  }
+
   /** Reads the keys of a submission and its cancel request; undefined if the read fails. */
   async #readIntakeKeys(id: string): Promise<string[] | undefined> {
     const page = await this.#store.read({
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -10,6 +10,7 @@
   OwnerPort,
   RouteTable,
 } from '@currantgap/ingress';
+import { encodeEndedJob, ENDED_TABLE, getIntakePart } from '@currantgap/execution';
 import { JobState, type Configuration, type Route } from '@currantgap/model';
 import { decodeSubmission } from '@currantgap/platform-adapter';
 import { MemoryStore, StoreFailure } from '@currantgap/standins';
@@ -162,4 +163,18 @@
     assert.deepEqual((await call('GET', `/a/${ID}`, { key: 'good' })).body, { state: 'cancelled' });
     assert.equal((await call('DELETE', '/a/00000000000000cc', { key: 'good' })).status, 410);
   });
+
+  it('answers for an ended submission that the owner has moved out of the intake', async () => {
+    const id = '00000000000000ee';
+    const part = getIntakePart(id);
+    const value = encodeEndedJob({ state: JobState.Completed, endedAt: 1 });
+    const puts = [{ table: ENDED_TABLE, part, key: id, value }];
+    await store.commit({ conditions: [], puts, removals: [] });
+    owner.state = OwnerLookupFault.Unknown;
+    const { version } = store;
+    assert.equal((await call('POST', `/a/${id}`, { key: 'good', body: BODY })).status, 200);
+    assert.deepEqual((await call('GET', `/a/${id}`, { key: 'good' })).body, { state: 'completed' });
+    assert.equal((await call('DELETE', `/a/${id}`, { key: 'good' })).status, 200);
+    assert.equal(store.version, version, 'nothing was stored, so nothing runs again');
+  });
 });
--- a/packages/ingress/test/intake-writer.test.ts
+++ b/packages/ingress/test/intake-writer.test.ts
@@ -40,7 +40,7 @@
   return (key, timeoutMs = LONG_TIMEOUT_MS) =>
     writer.write({
       row: { table: 'intake', part: 'jobs', key, value: key },
-      isNew: true,
+      absent: [{ table: 'intake', part: 'jobs', key }],
       deadline: performance.now() + timeoutMs,
     });
 }
@@ -114,7 +114,7 @@
       const id = (number * 0x9e3779b1).toString(16).padStart(16, '0');
       const row = { table: 'intake', part: getIntakePart(id), key: id, value: id };
       const deadline = performance.now() + CALLER_TIMEOUT_MS;
-      const write = writers[number % writers.length]?.write({ row, isNew: true, deadline });
+      const write = writers[number % writers.length]?.write({ row, absent: [row], deadline });
       if (write !== undefined) outcomes.push(write);
       await sleep(90);
     }
