feat(execution): a new owner may order at once all VMs but those that were ordered lately

Cause: after each take-over no VM moved for four seconds, and for five after a restart of all nodes: the pause that the protocol asks for between orders of two holders was kept for all VMs, counted from when the new owner had first seen the lease. Ruled out: the take-over itself (0.05 s after the restart), the reading of jobs. Change: each order is stored, fenced, before it is sent; a successor waits only for the VMs named there, by the store's clock. An order is not sent if its entry was stored too long ago: a suspended machine's monotonic clock stands still, so the age counts on the wall clock as well, as does that of the lease. The age of a predecessor's lease is no longer part of a term; the assertion on it goes with it, and vm-order-log.test.ts covers what it was for. Tests: vm-order-log, stopwatch, ownership (suspended machine).

--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -38,6 +38,7 @@
 import { ROSTER_TABLE, TargetRoster } from './target-roster.ts';
 import { MINIMUM_CLOCK_RATE } from './target-record.ts';
 import { VmManager } from './vm-manager.ts';
+import { VM_ORDER_TABLE } from './vm-order-log.ts';
 import { WAVE_TABLE, type EncodeWaveStatus } from './wave-controller.ts';
 
 /** Milliseconds between periodic sweeps over all targets and jobs. */
@@ -138,7 +139,8 @@
     for (const target of term.predecessor?.targets ?? []) reconciliation.expectReport(target);
     roster.load(await this.#readRows(ROSTER_TABLE));
     jobs.loadLedgerRows(await this.#readRows(LEDGER_TABLE));
-    this.#vmManager?.load(await this.#readRows(WAVE_TABLE));
+    this.#vmManager?.loadWaves(await this.#readRows(WAVE_TABLE));
+    this.#vmManager?.loadOrders(await this.#readRows(VM_ORDER_TABLE));
     this.#startFeedConsumer(INTAKE_TABLE, INTAKE_PARTS, INTAKE_POLL_PAUSE_MS, 'intake');
     this.#ticker = setInterval(() => {
       this.post({ kind: 'tick' });
@@ -154,16 +156,13 @@
     if (isHandOver) await this.#context.ledger.flush();
     this.#context.ledger.stop();
     this.#context.roster.stop();
+    this.#vmManager?.stop();
     this.stop();
   }
 
   /** Describes this term for the contenders. */
   describeTerm(): TermReport {
-    return {
-      isSettled: this.#hasLoadedJobs,
-      successors: this.#options.listSuccessors(),
-      vmOrderAgeMs: this.#vmManager?.orderAgeMs,
-    };
+    return { isSettled: this.#hasLoadedJobs, successors: this.#options.listSuccessors() };
   }
 
   /**
--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -129,9 +129,9 @@
   }
 
   #isMovable(member: MovableVm): boolean {
-    if (member.hasPersistent || this.#vmController.findOperation(member.vm.name) !== undefined)
-      return false;
-    return member.vm.state === VmState.Up;
+    const { name, state } = member.vm;
+    if (member.hasPersistent || this.#vmController.findOperation(name) !== undefined) return false;
+    return state === VmState.Up && this.#vmController.canOrder(name);
   }
 }
 
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -53,6 +53,11 @@
     return this.#isListed && this.#vmOrders.canSend;
   }
 
+  /** Whether an order for this VM may be sent now. */
+  canOrder(vm: string): boolean {
+    return this.#vmOrders.canSendFor(vm);
+  }
+
   /** All VMs of the last list. */
   get vms(): Iterable<Vm> {
     return this.#vms.values();
@@ -162,7 +167,7 @@
       for (const assignment of [...target.assignments]) this.#relocate(assignment);
       return;
     }
-    if (!this.#vmOrders.canSend) return;
+    if (!this.#vmOrders.canSendFor(operation.vm)) return;
     operation.phase = VmPhase.Ordered;
     operation.orderedAt = clock.now;
     void this.#vmOrders.send(operation).then((outcome) => {
--- a/packages/execution/src/vm-manager.ts
+++ b/packages/execution/src/vm-manager.ts
@@ -6,6 +6,7 @@
 import type { VmPort } from './ports.ts';
 import type { ReportProcessor } from './report-processor.ts';
 import { VmController } from './vm-controller.ts';
+import { VmOrderLog } from './vm-order-log.ts';
 import { VmOrders } from './vm-orders.ts';
 import { WaveController, type EncodeWaveStatus } from './wave-controller.ts';
 
@@ -24,7 +25,7 @@
 /** Manages the VMs for the owner: plans maintenance waves first, then resizes the pools. */
 export class VmManager {
   readonly #context: OwnerContext;
-  readonly #vmOrders: VmOrders;
+  readonly #orderLog: VmOrderLog;
   readonly #vmController: VmController;
   readonly #poolSizer: PoolSizer;
   readonly #waveController: WaveController;
@@ -33,13 +34,13 @@
     const { context, orders, reportProcessor, store, port, hasFreshLease, encodeWaveStatus } =
       options;
     this.#context = context;
-    this.#vmOrders = new VmOrders(context, port, hasFreshLease);
+    this.#orderLog = new VmOrderLog(context, store);
     this.#vmController = new VmController({
       context,
       orders,
       reportProcessor,
       port,
-      vmOrders: this.#vmOrders,
+      vmOrders: new VmOrders({ context, port, log: this.#orderLog, hasFreshLease }),
       onMaintained: (vm, wave) => {
         this.#waveController.record(vm, wave);
       },
@@ -53,16 +54,21 @@
     this.#poolSizer = new PoolSizer(context, this.#vmController);
   }
 
-  /** Milliseconds since the last order for a VM in this term; undefined if there is none. */
-  get orderAgeMs(): number | undefined {
-    return this.#vmOrders.orderAgeMs;
-  }
-
   /** Loads the progress of each wave from earlier terms. */
-  load(rows: readonly Row[]): void {
+  loadWaves(rows: readonly Row[]): void {
     this.#waveController.load(rows);
   }
 
+  /** Loads the orders that earlier owners sent lately. */
+  loadOrders(rows: readonly Row[]): void {
+    this.#orderLog.load(rows);
+  }
+
+  /** Prevents further orders; used when the term ends. */
+  stop(): void {
+    this.#orderLog.stop();
+  }
+
   /** Advances all operations and starts new ones. */
   sweep(): void {
     this.#vmController.sweep();
--- a/packages/execution/src/vm-orders.ts
+++ b/packages/execution/src/vm-orders.ts
@@ -1,6 +1,6 @@
-import { FRESH_LEASE_MS, type Term } from '@currantgap/ownership';
 import type { OwnerContext } from './context.ts';
 import { VmOrderOutcome, type VmOrder, type VmPort } from './ports.ts';
+import type { VmOrderLog } from './vm-order-log.ts';
 
 /** A planned change to a VM: a move to another pool, or maintenance in a wave. */
 export type VmPlan =
@@ -28,43 +28,42 @@
   orderedAt: number;
 }
 
-/** Milliseconds beyond the protocol's minimum time between orders of two lease holders. */
-const HOLDER_CHANGE_MARGIN_MS = 250;
-
 /** Sends orders for VMs, but only while no other node can be sending them. */
 export class VmOrders {
   readonly #context: OwnerContext;
   readonly #port: VmPort;
+  readonly #log: VmOrderLog;
   readonly #hasFreshLease: () => boolean;
-  readonly #sendNotBefore: number;
-  #orderedAt: number | undefined;
 
-  constructor(context: OwnerContext, port: VmPort, hasFreshLease: () => boolean) {
-    this.#context = context;
-    this.#port = port;
-    this.#hasFreshLease = hasFreshLease;
-    const orderAgeMs = computePredecessorOrderAge(context.term);
-    const pauseMs = context.bounds.holderChangeMs + HOLDER_CHANGE_MARGIN_MS;
-    this.#sendNotBefore = context.clock.now + pauseMs - orderAgeMs;
+  constructor(options: {
+    readonly context: OwnerContext;
+    readonly port: VmPort;
+    readonly log: VmOrderLog;
+    readonly hasFreshLease: () => boolean;
+  }) {
+    this.#context = options.context;
+    this.#port = options.port;
+    this.#log = options.log;
+    this.#hasFreshLease = options.hasFreshLease;
   }
 
-  /** Milliseconds since the last order of this term; undefined if there is none. */
-  get orderAgeMs(): number | undefined {
-    const { clock } = this.#context;
-    return this.#orderedAt === undefined ? undefined : Math.round(clock.now - this.#orderedAt);
+  /** Whether orders may be sent now, as far as this owner's lease is concerned. */
+  get canSend(): boolean {
+    return this.#hasFreshLease();
   }
 
-  /** Whether orders may be sent now. */
-  get canSend(): boolean {
-    return this.#context.clock.now >= this.#sendNotBefore && this.#hasFreshLease();
+  /** Whether an order for this VM may be sent now. */
+  canSendFor(vm: string): boolean {
+    return this.canSend && !this.#log.isBlocked(vm);
   }
 
-  /** Sends the order of an operation; returns `Refused` if orders may not be sent now. */
+  /** Sends the order of an operation; returns `Refused` if it may not be sent now. */
   async send(operation: VmOperation): Promise<VmOrderOutcome> {
     const { logger, term } = this.#context;
-    if (!this.canSend) return VmOrderOutcome.Refused;
     const { vm, plan } = operation;
-    this.#orderedAt = this.#context.clock.now;
+    if (!this.canSendFor(vm)) return VmOrderOutcome.Refused;
+    const isLogged = await this.#log.record(vm);
+    if (!isLogged || !this.canSend) return VmOrderOutcome.Refused;
     const order: VmOrder = { vm, token: term.token };
     const outcome =
       plan.kind === 'move'
@@ -79,13 +78,3 @@
     return outcome;
   }
 }
-
-/** Computes the minimum milliseconds since the predecessor's last order for a VM. */
-function computePredecessorOrderAge(term: Term): number {
-  const { predecessor, predecessorAgeMs } = term;
-  if (predecessor === undefined) return Infinity;
-  // Orders are sent only within FRESH_LEASE_MS after a lease renewal, so the last order was sent at
-  // most that long after the lease row was written.
-  if (!predecessor.isReleased) return predecessorAgeMs - FRESH_LEASE_MS;
-  return (predecessor.vmOrderAgeMs ?? Infinity) + predecessorAgeMs;
-}
--- a/packages/execution/src/wave-controller.ts
+++ b/packages/execution/src/wave-controller.ts
@@ -118,7 +118,7 @@
         freeSlots -= 1;
       if (vm === undefined || done.has(name) || vmController.findOperation(name) !== undefined)
         continue;
-      if (vm.state !== VmState.Up) continue;
+      if (vm.state !== VmState.Up || !vmController.canOrder(name)) continue;
       const isOff = services.some((service) => service.isSpare && service.name === vm.pool);
       due.push(this.#buildDueVm(vm, isOff, loads.get(vm.pool)));
     }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -58,7 +58,7 @@
 const MAXIMUM_HEADER_BYTES = 65_536;
 
 /** Report of a term whose owner has not been created yet. */
-const UNSETTLED_TERM: TermReport = { isSettled: false, successors: [], vmOrderAgeMs: undefined };
+const UNSETTLED_TERM: TermReport = { isSettled: false, successors: [] };
 
 /** One process: serves the API to clients and contends for the ownership of the fleet. */
 export class Node extends OwnershipListener {
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { StoreFaultKind, type StoreFault } from '@currantgap/store';
+import { Stopwatch } from '@currantgap/tasks';
 import { computeRemainingWait, computeSlack, LEASE_MS } from './take-over-timing.ts';
 import {
   findCurrentVersion,
@@ -40,16 +41,16 @@
   /** Whether any read or poll has failed; the owner may not have been able to renew then either. */
   #hasFailed = false;
   #isStopped = false;
-  /** Monotonic time at which the last successful renewal was sent, in milliseconds. */
-  #renewedAt = 0;
+  /** Measures the time since the last successful renewal was sent. */
+  #renewalWatch = new Stopwatch();
   /** Latency in milliseconds of the last renewal. */
   #latencyMs = 0;
   /** Number of consecutive terms before this one that ended before their owner had settled. */
   #unsettledTerms = 0;
   /** Epoch of this process's last term; a term that has ended is never resumed. */
   #lastEpoch = 0;
-  /** Lease that the last take-over attempt replaces, and since when it had been unchanged. */
-  #replaced: { readonly lease: LeaseRow | undefined; readonly unchangedSince: number } | undefined;
+  /** Lease that the last take-over attempt replaces. */
+  #replaced: LeaseRow | undefined;
 
   constructor(options: OwnershipOptions) {
     this.#options = options;
@@ -67,12 +68,12 @@
 
   /** Whether the lease was renewed so recently that no other node can have been owner for long. */
   get isLeaseFresh(): boolean {
-    return this.#term !== undefined && performance.now() - this.#renewedAt < FRESH_LEASE_MS;
+    return this.#term !== undefined && this.#renewalWatch.elapsedMs < FRESH_LEASE_MS;
   }
 
   /** Whether, by this node's clock, the lease is valid and no other node can have taken over. */
   get isLeaseValid(): boolean {
-    return this.#term !== undefined && performance.now() - this.#renewedAt < LEASE_MS;
+    return this.#term !== undefined && this.#renewalWatch.elapsedMs < LEASE_MS;
   }
 
   /** Watches the lease, or renews it as the owner, until `release` is called. */
@@ -220,11 +221,11 @@
 
   async #takeOver(): Promise<void> {
     const epoch = (this.#lease?.epoch ?? 0) + 1;
-    this.#replaced = { lease: this.#lease, unchangedSince: this.#unchangedSince };
+    this.#replaced = this.#lease;
     this.#unsettledTerms = this.#lease?.isSettled === false ? this.#lease.unsettledTerms + 1 : 0;
     this.#latencyMs = 0;
     const value = encodeLease(this.#buildLease(epoch));
-    const sentAt = performance.now();
+    const sentWatch = new Stopwatch();
     const result = await this.#options.store.commit({
       conditions: [{ ...LEASE_ROW, version: this.#leaseVersion }],
       puts: [
@@ -243,19 +244,18 @@
       if (result.error.kind !== StoreFaultKind.Conflict) await sleep(RETRY_DELAY_MS);
       return;
     }
-    this.#renewedAt = sentAt;
+    this.#renewalWatch = sentWatch;
     this.#beginTerm(result.value);
   }
 
   #beginTerm(version: number): void {
-    const predecessor = this.#replaced?.lease;
+    const predecessor = this.#replaced;
     const epoch = (predecessor?.epoch ?? 0) + 1;
     this.#leaseVersion = version;
     this.#lease = this.#buildLease(epoch);
     this.#feedVersion = undefined;
     this.#lastEpoch = epoch;
-    const predecessorAgeMs = performance.now() - (this.#replaced?.unchangedSince ?? 0);
-    this.#term = { epoch, token: version, fenceVersion: version, predecessor, predecessorAgeMs };
+    this.#term = { epoch, token: version, fenceVersion: version, predecessor };
     this.#options.logger.writeInfo('ownership taken', {
       epoch,
       token: version,
@@ -279,9 +279,9 @@
       this.endTerm('another node took over');
       return;
     }
-    if (result.lease === undefined) return;
+    if (result.sentWatch === undefined) return;
     this.#leaseVersion = result.version;
-    this.#renewedAt = result.sentAt;
+    this.#renewalWatch = result.sentWatch;
     if (this.#isFailing) this.#options.logger.writeInfo('lease renewed again');
     this.#isFailing = false;
   }
@@ -319,6 +319,7 @@
       address,
       epoch,
       isReleased: false,
+      logsVmOrders: true,
       unsettledTerms: this.#unsettledTerms,
       slackMs,
       expiresAt: store.now === undefined ? undefined : Math.round(store.now + LEASE_MS + slackMs),
--- a/packages/ownership/src/renewal.ts
+++ b/packages/ownership/src/renewal.ts
@@ -1,4 +1,5 @@
 import { StoreFaultKind, type Row, type Store, type StoreFault } from '@currantgap/store';
+import { Stopwatch } from '@currantgap/tasks';
 import { encodeLease, FENCE_ROW, LEASE_ROW, type LeaseRow } from './rows.ts';
 
 /**
@@ -27,10 +28,8 @@
   readonly outcome: RenewalOutcome;
   /** Version of the lease row after the renewal. */
   readonly version: number;
-  /** Monotonic time of the successful attempt, in milliseconds; 0 if there is none. */
-  readonly sentAt: number;
-  /** Lease that the successful attempt wrote; undefined if there is none. */
-  readonly lease: LeaseRow | undefined;
+  /** Measures the time since the successful attempt was sent; undefined if there is none. */
+  readonly sentWatch: Stopwatch | undefined;
   /** Milliseconds that the response which decided the outcome took. */
   readonly latencyMs: number;
 }
@@ -54,8 +53,9 @@
 
 /** One attempt at a renewal. */
 interface Attempt {
-  readonly lease: LeaseRow;
+  /** Monotonic time, in milliseconds. */
   readonly sentAt: number;
+  readonly sentWatch: Stopwatch;
 }
 
 /** Renews the lease once: sends overlapping attempts until one shows the current lease row. */
@@ -87,9 +87,8 @@
       this.#report(RenewalOutcome.Abandoned, this.#options.previousLatencyMs);
       return;
     }
-    const lease = buildLease();
-    const attempt = { lease, sentAt: performance.now() };
-    const value = encodeLease(lease);
+    const attempt = { sentAt: performance.now(), sentWatch: new Stopwatch() };
+    const value = encodeLease(buildLease());
     this.#attempts.set(value, attempt);
     this.#timer = setTimeout(() => {
       this.#send();
@@ -130,13 +129,7 @@
     version = this.#options.version,
     written?: Attempt,
   ): void {
-    this.#settle({
-      outcome,
-      version,
-      latencyMs,
-      sentAt: written?.sentAt ?? 0,
-      lease: written?.lease,
-    });
+    this.#settle({ outcome, version, latencyMs, sentWatch: written?.sentWatch });
   }
 }
 
--- a/packages/ownership/src/rows.ts
+++ b/packages/ownership/src/rows.ts
@@ -29,8 +29,8 @@
   readonly slackMs: number;
   /** Lease expiry on the store's monotonic clock; undefined if that clock was not known. */
   readonly expiresAt: number | undefined;
-  /** Milliseconds from the owner's last VM order to this write; undefined if there was none. */
-  readonly vmOrderAgeMs: number | undefined;
+  /** Whether the owner stores each order for a VM before it sends it. */
+  readonly logsVmOrders: boolean;
   /** Targets on which the owner may hold leases; only in rows of earlier versions of the product. */
   readonly targets?: readonly LeasedTarget[];
 }
@@ -47,7 +47,13 @@
 }
 
 /** Values of the fields that rows of earlier versions of the product lack. */
-const LEASE_DEFAULTS = { slackMs: 0, isSettled: true, unsettledTerms: 0, successors: [] };
+const LEASE_DEFAULTS = {
+  slackMs: 0,
+  isSettled: true,
+  unsettledTerms: 0,
+  successors: [],
+  logsVmOrders: false,
+};
 
 /** Encodes a lease row. */
 export function encodeLease(row: LeaseRow): string {
--- a/packages/ownership/src/term.ts
+++ b/packages/ownership/src/term.ts
@@ -11,8 +11,6 @@
   readonly fenceVersion: number;
   /** Lease row of the previous owner; undefined if there was none. */
   readonly predecessor: LeaseRow | undefined;
-  /** Milliseconds for which that row had been seen unchanged at the time of the take-over. */
-  readonly predecessorAgeMs: number;
 }
 
 /** State that each renewal writes to the lease row for contenders. */
@@ -21,8 +19,6 @@
   readonly isSettled: boolean;
   /** Nodes that may take over before all others, the most suitable one first. */
   readonly successors: readonly string[];
-  /** Milliseconds since the last VM order; undefined if there was none. */
-  readonly vmOrderAgeMs: number | undefined;
 }
 
 /** Receives the ownership events of this node and supplies the state that renewals write. */
