fix(execution): an order for a VM no longer ends the tasks of a target that registered there later

Cause: the registry keeps the entry of a target for some seconds after it has ended, and its last heartbeat may arrive after the VM has been moved. Ruled out: starts on cordoned targets; orders without drain. Change: a VM is cordoned, drained and counted over all targets registered on it, a target that registers on a cordoned VM is cordoned, and heartbeats of an incarnation that an order has ended are ignored.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -7,6 +7,9 @@
 export class Fleet {
   readonly #targets = new Map<string, TargetRecord>();
   readonly #running = new Map<string, ResourceSum>();
+  readonly #cordonedVms = new Set<string>();
+  /** Incarnations that have ended, as Unix milliseconds of their start, by target id. */
+  readonly #terminated = new Map<string, number>();
 
   get targets(): Iterable<TargetRecord> {
     return this.#targets.values();
@@ -26,13 +29,16 @@
   }
 
   /**
-   * Applies a registration. `leasesExpireAt` is the latest expiry of leases that a predecessor may
-   * have granted on a new target.
+   * Applies a registration; returns undefined if the incarnation is known to have ended.
+   * `leasesExpireAt` is the latest expiry of leases that a predecessor may have granted on a new
+   * target.
    */
-  register(entry: TargetEntry, leasesExpireAt: number): TargetRecord {
+  register(entry: TargetEntry, leasesExpireAt: number): TargetRecord | undefined {
+    if (this.#terminated.get(entry.id) === entry.bornAt) return undefined;
     const known = this.#targets.get(entry.id);
     if (known === undefined) {
       const created = new TargetRecord(entry, leasesExpireAt);
+      created.isCordoned = entry.vm !== undefined && this.#cordonedVms.has(entry.vm);
       this.#targets.set(entry.id, created);
       return created;
     }
@@ -42,8 +48,37 @@
     return known;
   }
 
+  /**
+   * Lists the registered targets of a VM. There may be two: the registry keeps the entry of a target
+   * for some seconds after it has ended, when the next one on the VM has registered already.
+   */
+  listOnVm(vm: string): TargetRecord[] {
+    return [...this.#targets.values()].filter(
+      (target) => target.entry.vm === vm && target.isRegistered,
+    );
+  }
+
+  /** Gives a VM no new work; this includes a target that registers there later. */
+  cordon(vm: string): void {
+    this.#cordonedVms.add(vm);
+    for (const target of this.listOnVm(vm)) target.isCordoned = true;
+  }
+
+  /** Ends the cordon of a VM. */
+  uncordon(vm: string): void {
+    this.#cordonedVms.delete(vm);
+    for (const target of this.listOnVm(vm)) target.isCordoned = false;
+  }
+
+  /** Unregisters a target that has ended; later heartbeats of this incarnation are ignored. */
+  terminate(target: TargetRecord): void {
+    target.isRegistered = false;
+    this.#terminated.set(target.id, target.entry.bornAt);
+  }
+
   /** Marks a target whose registry entry was removed; it is forgotten once no run is assigned. */
   unregister(id: string): TargetRecord | undefined {
+    this.#terminated.delete(id);
     const target = this.#targets.get(id);
     if (target !== undefined) target.isRegistered = false;
     return target;
--- a/packages/execution/src/registry-reader.ts
+++ b/packages/execution/src/registry-reader.ts
@@ -40,8 +40,9 @@
 
   #remove(id: string): void {
     const { fleet, logger } = this.#context;
-    if (fleet.find(id)?.isRegistered !== true) return;
+    const isRegistered = fleet.find(id)?.isRegistered === true;
     fleet.unregister(id);
+    if (!isRegistered) return;
     logger.writeInfo('target unregistered', { target: id });
   }
 
@@ -50,7 +51,7 @@
     const { fleet, reconciliation } = this.#context;
     const isNew = fleet.find(entry.id) === undefined;
     const target = fleet.register(entry, isSnapshot ? reconciliation.deadline : 0);
-    if (!isNew) return;
+    if (!isNew || target === undefined) return;
     if (isSnapshot) reconciliation.expectReport({ id: entry.id, service: entry.service });
     this.#writeRegistered(target);
   }
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -73,27 +73,19 @@
     return this.#operations.values();
   }
 
-  /** Finds the registered target that runs on a VM. */
-  findTarget(vm: string): TargetRecord | undefined {
-    for (const target of this.#context.fleet.targets) {
-      if (target.entry.vm === vm && target.isRegistered) return target;
-    }
-    return undefined;
-  }
-
   /** Starts draining a VM for a plan; does nothing if the VM has an operation already. */
   startPlan(vm: string, plan: VmPlan): void {
     if (this.#operations.has(vm)) return;
     const { now } = this.#context.clock;
     this.#operations.set(vm, { vm, plan, startedAt: now, phase: VmPhase.Draining, orderedAt: 0 });
-    const target = this.findTarget(vm);
-    if (target !== undefined) target.isCordoned = true;
-    this.#context.logger.writeInfo('VM planned', {
+    const { fleet, logger } = this.#context;
+    fleet.cordon(vm);
+    logger.writeInfo('VM planned', {
       vm,
       plan: plan.kind,
       to: plan.kind === 'move' ? plan.pool : plan.wave,
       from: this.#vms.get(vm)?.pool ?? '',
-      tasks: target?.assignmentCount ?? 0,
+      tasks: countTasks(fleet.listOnVm(vm)),
     });
   }
 
@@ -102,8 +94,7 @@
     const operation = this.#operations.get(vm);
     if (operation === undefined) return;
     this.#operations.delete(vm);
-    const target = this.findTarget(vm);
-    if (target !== undefined) target.isCordoned = false;
+    this.#context.fleet.uncordon(vm);
     this.#context.logger.writeInfo('VM plan abandoned', { vm, plan: operation.plan.kind, reason });
   }
 
@@ -156,15 +147,15 @@
    * order once the VM is empty.
    */
   #drain(operation: VmOperation): void {
-    const { clock } = this.#context;
-    const target = this.findTarget(operation.vm);
-    if (target !== undefined) target.isCordoned = true;
-    if (target !== undefined && target.assignmentCount > 0) {
+    const { clock, fleet } = this.#context;
+    const targets = fleet.listOnVm(operation.vm);
+    if (countTasks(targets) > 0) {
       if (clock.now > operation.startedAt + DRAIN_TIMEOUT_MS && operation.plan.kind === 'move') {
         this.abandonPlan(operation.vm, 'not drained in time');
         return;
       }
-      for (const assignment of [...target.assignments]) this.#relocate(assignment);
+      for (const target of targets)
+        for (const assignment of [...target.assignments]) this.#relocate(assignment);
       return;
     }
     if (!this.#vmOrders.canSendFor(operation.vm)) return;
@@ -175,12 +166,14 @@
     });
   }
 
-  /** Unregisters the VM's target, which the order ends; a new target registers later. */
-  #unregisterTarget(vm: string): void {
-    const target = this.findTarget(vm);
-    if (target === undefined) return;
-    this.#context.fleet.unregister(target.id);
-    this.#reportProcessor.recordAllLost(target, 'VM moved or maintained');
+  /** Removes the VM's target, which the order ended; the next one to register there is open. */
+  #removeTarget(vm: string): void {
+    const { fleet } = this.#context;
+    for (const target of fleet.listOnVm(vm)) {
+      fleet.terminate(target);
+      this.#reportProcessor.recordAllLost(target, 'VM moved or maintained');
+    }
+    fleet.uncordon(vm);
   }
 
   /** Stops a persistent task if its disruption budget allows it; it restarts on another target. */
@@ -205,7 +198,7 @@
       case VmOrderOutcome.Accepted:
         operation.phase = VmPhase.Unavailable;
         operation.orderedAt = this.#context.clock.now;
-        this.#unregisterTarget(vm);
+        this.#removeTarget(vm);
         if (plan.kind === 'maintain') this.#onMaintained(vm, plan.wave);
         return;
       case VmOrderOutcome.Unknown:
@@ -229,3 +222,7 @@
     ({ phase, percent }) => phase === AttemptPhase.Running && percent >= READY_PERCENT,
   );
 }
+
+function countTasks(targets: readonly TargetRecord[]): number {
+  return targets.reduce((sum, { assignmentCount }) => sum + assignmentCount, 0);
+}
--- a/packages/execution/src/wave-controller.ts
+++ b/packages/execution/src/wave-controller.ts
@@ -129,8 +129,8 @@
   }
 
   #buildDueVm(vm: Vm, isOff: boolean, load: PoolLoad | undefined): DueVm {
-    const target = this.#options.vmController.findTarget(vm.name);
-    const assignments = target === undefined ? [] : [...target.assignments];
+    const targets = this.#options.context.fleet.listOnVm(vm.name);
+    const assignments = targets.flatMap((target) => [...target.assignments]);
     const persistentTasks = assignments.filter(
       ({ task }) => task.step.definition.isPersistent,
     ).length;
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -258,6 +258,7 @@
   /** Registers a target that has reported already and may get work. */
   addTarget(id: string, changes: Partial<TargetEntry> = {}): TargetRecord {
     const target = this.context.fleet.register(createTarget(id, changes), 0);
+    if (target === undefined) throw new Error(`target ${id} has ended`);
     target.recordClock(100, this.now);
     target.reportedAt = this.now;
     target.rosterState = RosterState.Listed;
--- /dev/null
+++ b/packages/execution/test/vm-controller.test.ts
@@ -0,0 +1,121 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { AttemptPhase } from '@currantgap/jobs';
+import { VmState, type Vm } from '@currantgap/model';
+import { waitUntil } from '@currantgap/standins';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { JobLookup } from '../src/job-lookup.ts';
+import { VmOrderOutcome, VmPort, type VmOrder } from '../src/ports.ts';
+import { ReportProcessor } from '../src/report-processor.ts';
+import { buildAttempt, RunOrders } from '../src/run-orders.ts';
+import { VmController } from '../src/vm-controller.ts';
+import { VmOrderLog } from '../src/vm-order-log.ts';
+import { VmOrders } from '../src/vm-orders.ts';
+import { createTarget, flushPromises, TermHarness } from './term-harness.ts';
+
+const VM: Vm = {
+  name: 'vm-t1',
+  pool: 'kartes',
+  state: VmState.Up,
+  dataCentre: 'riga-a',
+  labels: [],
+  capacity: { cpuMillis: 4_000, memoryMb: 16_384, gpus: 0 },
+  targetId: 't1',
+};
+
+/** Records the moves that are ordered. */
+class FakeVmPort extends VmPort {
+  readonly moves: string[] = [];
+
+  async list(): Promise<readonly Vm[]> {
+    return Promise.resolve([VM]);
+  }
+
+  async move({ vm }: VmOrder): Promise<VmOrderOutcome> {
+    this.moves.push(vm);
+    return Promise.resolve(VmOrderOutcome.Accepted);
+  }
+
+  async maintain(): Promise<VmOrderOutcome> {
+    return Promise.resolve(VmOrderOutcome.Accepted);
+  }
+}
+
+async function createController() {
+  const harness = new TermHarness();
+  await harness.writeFence();
+  const { context, store } = harness;
+  const port = new FakeVmPort();
+  const log = new VmOrderLog(context, store);
+  const orders = new RunOrders(context);
+  const controller = new VmController({
+    context,
+    orders,
+    reportProcessor: new ReportProcessor(context, orders, new JobLookup(context, store)),
+    vmOrders: new VmOrders({ context, port, log, hasFreshLease: () => true }),
+    port,
+    onMaintained: () => undefined,
+  });
+  controller.sweep();
+  await flushPromises();
+  return { harness, port, controller, log };
+}
+
+describe('a VM with a plan', () => {
+  it('gets no new work, and is ordered away only once it is empty', async () => {
+    const { harness, port, controller, log } = await createController();
+    const target = harness.addTarget('t1');
+    controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
+    assert.equal(target.isOpen(harness.now), false);
+    controller.sweep();
+    await waitUntil(() => port.moves.length === 1);
+    await flushPromises();
+    assert.equal(harness.fleet.find('t1')?.isRegistered, false);
+    log.stop();
+  });
+
+  it('gets no work either on a target that registers while the order is on its way', async () => {
+    const { harness, port, controller, log } = await createController();
+    controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
+    controller.sweep();
+    const target = harness.addTarget('t1');
+    assert.equal(target.isOpen(harness.now), false);
+    await waitUntil(() => port.moves.length === 1);
+    await flushPromises();
+    const next = harness.addTarget('t2', { vm: VM.name, service: 'velves' });
+    assert.ok(next.isOpen(harness.now));
+    // A heartbeat of the target that was moved away arrives late.
+    harness.fleet.register(createTarget('t1'), 0);
+    assert.equal(target.isOpen(harness.now), false);
+    log.stop();
+  });
+
+  it('is not ordered away because an ended target that is still registered has no tasks', async () => {
+    const { harness, port, controller, log } = await createController();
+    harness.addTarget('t1');
+    const next = harness.addTarget('t2', { vm: VM.name, bornAt: 2 });
+    const job = harness.addJob('0000000000000001', [{}]);
+    const task = job.openOccurrence(0).steps[0]?.tasks[0];
+    assert.ok(task);
+    const attempt = buildAttempt(next, 1, AttemptPhase.Running, harness.now);
+    harness.fleet.assign(next, task, attempt);
+    controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
+    assert.equal(next.isOpen(harness.now), false);
+    controller.sweep();
+    await sleep(60);
+    assert.deepEqual(port.moves, []);
+    harness.fleet.unassign(next, { task, attempt });
+    controller.sweep();
+    await waitUntil(() => port.moves.length === 1);
+    log.stop();
+  });
+
+  it('gets work again when the plan is abandoned', async () => {
+    const { harness, controller, log } = await createController();
+    const target = harness.addTarget('t1');
+    controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
+    controller.abandonPlan(VM.name, 'not drained in time');
+    assert.ok(target.isOpen(harness.now));
+    log.stop();
+  });
+});
