--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -4,8 +4,10 @@
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import type { PartitionGuard } from './partition-guard.ts';
+import type { FencedWriter } from './fenced-writer.ts';
 import type { Fleet } from './fleet.ts';
 import type { JobIndex, JobRecord } from './job-index.ts';
+import type { LeasePolicy } from './lease-policy.ts';
 import type { Ledger } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import type { PoolArrivals } from './pool-arrivals.ts';
@@ -40,7 +42,10 @@
   readonly active: Map<string, JobRecord>;
   /** Arrival rate of work for each pool. */
   readonly arrivals: PoolArrivals;
+  /** Writes the rows of ledger, roster and VM orders. */
+  readonly writer: FencedWriter;
   readonly ledger: Ledger;
+  readonly leasePolicy: LeasePolicy;
   readonly durations: DurationModel;
   readonly reconciliation: Reconciliation;
   readonly roster: TargetRoster;
--- a/packages/execution/src/fenced-writer.ts
+++ b/packages/execution/src/fenced-writer.ts
@@ -23,6 +23,7 @@
 
 /** A row that the owner writes. */
 export abstract class FencedRow {
+  abstract readonly table: string;
   abstract readonly key: string;
   /** Version of the row in the store, as far as it is known; 0 if there is none. */
   abstract version: number;
@@ -37,7 +38,6 @@
   readonly store: Store;
   readonly term: Term;
   readonly logger: Logger;
-  readonly table: string;
   /** Called when the store has all changes up to and including this number. */
   readonly onWritten: (changeNumber: number) => void;
   /** Called when the fence row shows that another node has taken over. */
@@ -45,14 +45,16 @@
 }
 
 /**
- * Writes rows of one table in the owner's part, one transaction at a time. Each transaction requires
- * the fence row of the term and the known version of each row, so that neither a deposed owner nor a
- * delayed transaction overwrites a later value.
+ * Writes all rows of the owner's part but the lease, one transaction at a time. Each transaction
+ * requires the fence row of the term and the known version of each row, so that neither a deposed
+ * owner nor a delayed transaction overwrites a later value.
  */
 export class FencedWriter {
   readonly #options: FencedWriterOptions;
   /** Rows with changes, each with the number of its first change that is not stored. */
   #pending = new Map<FencedRow, number>();
+  /** Rows that are written before all others. */
+  #urgent = new Set<FencedRow>();
   #lastChange = 0;
   #isWriting = false;
   #isStopped = false;
@@ -65,6 +67,12 @@
     this.#options = options;
   }
 
+  /** Enqueues a changed row that something waits for, ahead of all others. */
+  addUrgent(row: FencedRow): void {
+    this.#urgent.add(row);
+    this.#schedule(0);
+  }
+
   /** Enqueues a changed row; returns the number of the change. */
   add(row: FencedRow): number {
     this.#lastChange += 1;
@@ -89,32 +97,39 @@
   #schedule(delayMs: number): void {
     if (this.#isWriting || this.#isStopped) return;
     const pauseMs = this.#pauseUntil - performance.now();
-    this.#timer ??= setTimeout(
-      () => {
-        this.#timer = undefined;
-        void this.#write();
-      },
-      Math.max(delayMs, pauseMs),
-    );
+    const waitMs = Math.max(delayMs, pauseMs);
+    if (delayMs === 0) clearTimeout(this.#timer);
+    else if (this.#timer !== undefined) return;
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      void this.#write();
+    }, waitMs);
   }
 
   async #write(): Promise<void> {
-    if (this.#isWriting || this.#isStopped || this.#pending.size === 0) return;
-    const batch = new Map([...this.#pending].slice(0, ROWS_PER_TRANSACTION));
+    if (this.#isWriting || this.#isStopped || !this.#hasChanges()) return;
+    const urgent = [...this.#urgent].slice(0, ROWS_PER_TRANSACTION);
+    const batch = new Map([...this.#pending].slice(0, ROWS_PER_TRANSACTION - urgent.length));
+    for (const row of urgent) this.#urgent.delete(row);
     for (const row of batch.keys()) this.#pending.delete(row);
     this.#isWriting = true;
     const sentAt = performance.now();
-    const isWritten = await this.#commit([...batch.keys()]);
+    const isWritten = await this.#commit([...urgent, ...batch.keys()]);
     const answeredAt = performance.now();
     this.#pauseUntil = answeredAt + Math.min(answeredAt - sentAt, MAXIMUM_PAUSE_MS);
     this.#isWriting = false;
     if (isWritten) this.#options.onWritten(this.#getWrittenThrough());
-    else this.#enqueueAgain(batch);
-    if (this.#pending.size > 0) this.#schedule(isWritten ? 0 : RETRY_MS);
+    else this.#enqueueAgain(urgent, batch);
+    if (this.#hasChanges()) this.#schedule(isWritten ? 0 : RETRY_MS);
+  }
+
+  #hasChanges(): boolean {
+    return this.#urgent.size > 0 || this.#pending.size > 0;
   }
 
   /** Puts rows that were not written back ahead of later changes. */
-  #enqueueAgain(batch: ReadonlyMap<FencedRow, number>): void {
+  #enqueueAgain(urgent: readonly FencedRow[], batch: ReadonlyMap<FencedRow, number>): void {
+    this.#urgent = new Set([...urgent, ...this.#urgent]);
     const merged = new Map([...this.#pending, ...batch]);
     this.#pending = new Map([...merged].sort((left, right) => left[1] - right[1]));
   }
@@ -126,8 +141,8 @@
   }
 
   async #commit(rows: readonly FencedRow[]): Promise<boolean> {
-    const { store, term, table } = this.#options;
-    const getKey = ({ key }: FencedRow): RowKey => ({ table, part: OWNER_PART, key });
+    const { store, term, logger } = this.#options;
+    const getKey = ({ table, key }: FencedRow): RowKey => ({ table, part: OWNER_PART, key });
     const values = rows.map((row) => ({ ...getKey(row), value: row.encode() }));
     const result = await store.commit({
       conditions: [
@@ -141,7 +156,7 @@
       this.#handleFault(result.error, rows);
       return false;
     }
-    if (this.#isFailing) this.#options.logger.writeInfo(`${table} written again`);
+    if (this.#isFailing) logger.writeInfo('progress written again');
     this.#isFailing = false;
     for (const [index, row] of rows.entries()) {
       row.version = values[index]?.value === undefined ? 0 : result.value;
@@ -155,8 +170,8 @@
       this.#resolveConflict(fault.rows, rows);
       return;
     }
-    const { logger, table } = this.#options;
-    if (!this.#isFailing) logger.writeWarning(`${table} not written`, { reason: fault.message });
+    const { logger } = this.#options;
+    if (!this.#isFailing) logger.writeWarning('progress not written', { reason: fault.message });
     this.#isFailing = true;
   }
 
@@ -171,7 +186,7 @@
       this.#options.onFenced();
       return;
     }
-    const versions = new Map(found.map((row) => [row.key, row.version]));
-    for (const row of rows) row.version = versions.get(row.key) ?? 0;
+    const versions = new Map(found.map((row) => [`${row.table}/${row.key}`, row.version]));
+    for (const row of rows) row.version = versions.get(`${row.table}/${row.key}`) ?? 0;
   }
 }
--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -70,6 +70,11 @@
     for (const target of this.listOnVm(vm)) target.isCordoned = false;
   }
 
+  /** Whether a target is known to have ended, so that nothing runs on it. */
+  isTerminated({ id, entry }: TargetRecord): boolean {
+    return this.#terminated.get(id) === entry.bornAt;
+  }
+
   /** Unregisters a target that has ended; later heartbeats of this incarnation are ignored. */
   terminate(target: TargetRecord): void {
     target.isRegistered = false;
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -1,6 +1,5 @@
 import type { OwnerContext } from './context.ts';
 import { EndAcknowledger } from './end-acknowledger.ts';
-import { getLeaseMs } from './run-orders.ts';
 import type { TargetRecord } from './target-record.ts';
 
 /** Milliseconds for which a target may delay its answer until a run ends: a quarter of a lease. */
@@ -88,7 +87,7 @@
   }
 
   #sendIfDue(target: TargetRecord): void {
-    const { partitionGuard, clock, fleet, post, targetPort, term } = this.#context;
+    const { partitionGuard, clock, fleet, leasePolicy, post, targetPort, term } = this.#context;
     const { now } = clock;
     if (target.isRenewalInFlight || now < target.renewNotBefore) return;
     if (now < target.retryAcknowledgementAt) return;
@@ -104,7 +103,7 @@
       // A restart resets the target's clock, so a deadline computed from an old reading is invalid.
       deadline:
         isClockKnown && !partitionGuard.shouldPause()
-          ? target.grantLease(getLeaseMs(this.#context.bounds), now)
+          ? target.grantLease(leasePolicy.computeLeaseMs(now), now)
           : undefined,
       waitMs: isClockKnown && !this.#hasUnacknowledgedEnds(target) ? LONG_POLL_MS : 0,
     };
--- a/packages/execution/src/ledger.ts
+++ b/packages/execution/src/ledger.ts
@@ -1,24 +1,19 @@
 import { encodeLedgerRow, type Job } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
-import { FencedRow, FencedWriter, type FencedWriterOptions } from './fenced-writer.ts';
+import { FencedRow, type FencedWriter } from './fenced-writer.ts';
 
 /** Table with the progress of each job, written by the owner. */
 export const LEDGER_TABLE = 'ledger';
 
-/** Options of a ledger. */
-export interface LedgerOptions extends Omit<FencedWriterOptions, 'table'> {
-  /** Called when the store has the final state of a job. */
-  readonly onEndStored: (job: Job) => void;
-}
-
-/** Writes the progress of jobs; a change is durable once `onWritten` has reported its number. */
+/** Writes the progress of jobs; a change is durable once the writer has reported its number. */
 export class Ledger {
   readonly #writer: FencedWriter;
   readonly #rows = new Map<Job, JobRow>();
   readonly #onEndStored: (job: Job) => void;
 
-  constructor({ onEndStored, ...options }: LedgerOptions) {
-    this.#writer = new FencedWriter({ ...options, table: LEDGER_TABLE });
+  /** `onEndStored` is called when the store has the final state of a job. */
+  constructor(writer: FencedWriter, onEndStored: (job: Job) => void) {
+    this.#writer = writer;
     this.#onEndStored = onEndStored;
   }
 
@@ -34,16 +29,6 @@
     this.#writer.add(row);
   }
 
-  /** Writes pending changes now instead of after the batch delay; resolves after one attempt. */
-  async flush(): Promise<void> {
-    await this.#writer.flush();
-  }
-
-  /** Cancels the scheduled write and prevents further transactions; used when the term ends. */
-  stop(): void {
-    this.#writer.stop();
-  }
-
   #getRow(job: Job): JobRow {
     const known = this.#rows.get(job);
     if (known !== undefined) return known;
@@ -58,6 +43,7 @@
 
 /** The ledger row of one job. */
 class JobRow extends FencedRow {
+  readonly table = LEDGER_TABLE;
   /** Whether the row is to be removed, since the job was archived. */
   isRemoved = false;
   readonly #job: Job;
--- a/packages/execution/src/owner-rows.ts
+++ b/packages/execution/src/owner-rows.ts
@@ -1,13 +1,17 @@
 import { OWNER_PART } from '@currantgap/ownership';
 import { scanRows, type PageSizer, type Row, type Store } from '@currantgap/store';
 
-/** Reads the rows that earlier terms wrote to a table; empty if the term ends before that. */
+/**
+ * Reads the rows that earlier terms wrote to some tables, by table; the lists are empty if the term
+ * ends before that.
+ */
 export async function readOwnerRows(
   store: Store,
-  table: string,
+  tables: readonly string[],
   pageSizer: PageSizer,
   isActive: () => boolean,
-): Promise<readonly Row[]> {
-  const ranges = [{ table, part: OWNER_PART }];
-  return (await scanRows({ store, ranges, pageSizer, isActive }))?.rows ?? [];
+): Promise<(table: string) => readonly Row[]> {
+  const ranges = tables.map((table) => ({ table, part: OWNER_PART }));
+  const result = await scanRows({ store, ranges, pageSizer, isActive });
+  return (table) => result?.rows.filter((row) => row.table === table) ?? [];
 }
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -2,7 +2,7 @@
 import { JobState } from '@currantgap/model';
 import type { Term, TermReport } from '@currantgap/ownership';
 import { DurationModel } from '@currantgap/scheduling';
-import { FeedConsumer, type PageSizer, type Row, type Store } from '@currantgap/store';
+import type { PageSizer, Row, Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import { AdviceCache } from './advice-cache.ts';
@@ -10,17 +10,17 @@
 import { JobPurger } from './job-purger.ts';
 import type { OwnerBounds, OwnerContext } from './context.ts';
 import { Drainer } from './drainer.ts';
+import { FencedWriter } from './fenced-writer.ts';
 import { Fleet } from './fleet.ts';
+import { LeasePolicy } from './lease-policy.ts';
 import { LeaseRenewer } from './lease-renewer.ts';
 import { Intake } from './intake.ts';
-import { INTAKE_PARTS, INTAKE_TABLE } from './intake-tables.ts';
 import { JobArchiver } from './job-archiver.ts';
 import { JobIndex, type JobRecord } from './job-index.ts';
 import { JobLookup } from './job-lookup.ts';
 import { Ledger, LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
-import { getLeaseMs, isUncertain, RunOrders } from './run-orders.ts';
-import { readOwnerRows } from './owner-rows.ts';
+import { isUncertain, RunOrders } from './run-orders.ts';
 import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
 import { PoolArrivals } from './pool-arrivals.ts';
@@ -38,6 +38,7 @@
 import { ROSTER_TABLE, TargetRoster } from './target-roster.ts';
 import { MINIMUM_CLOCK_RATE } from './target-record.ts';
 import { VmManager } from './vm-manager.ts';
+import { TermFeeds } from './term-feeds.ts';
 import { VM_ORDER_TABLE } from './vm-order-log.ts';
 import { WAVE_TABLE, type EncodeWaveStatus } from './wave-controller.ts';
 
@@ -45,10 +46,8 @@
 const TICK_MS = 100;
 /** Milliseconds for which events are batched into one planning run. */
 const PLAN_BATCH_MS = 4;
-/** Milliseconds between a response of the intake's change feed and the next poll. */
-const INTAKE_POLL_PAUSE_MS = 15;
-/** Milliseconds between a response of the target registry's change feed and the next poll. */
-const REGISTRY_POLL_PAUSE_MS = 150;
+/** Milliseconds for which leases are extended at a hand-over. */
+const HAND_OVER_MS = 3_000;
 /** Milliseconds after the computed lease expiry at which a run counts as lost. */
 const LEASE_EXPIRY_MARGIN_MS = 100;
 
@@ -96,10 +95,11 @@
   readonly #sweepers: readonly { sweep(): void }[];
   readonly #vmManager: VmManager | undefined;
   readonly #intake: Intake;
-  readonly #feedConsumers: FeedConsumer[] = [];
+  readonly #feeds: TermFeeds;
   #ticker: NodeJS.Timeout | undefined;
   #isPlanDue = false;
   #hasLoadedJobs = false;
+  #isHandingOver = false;
   #isClosed = false;
 
   constructor(options: OwnerOptions) {
@@ -130,39 +130,66 @@
       archiver: this.#archiver,
     });
     this.#vmManager = this.#buildVmManager();
+    this.#feeds = new TermFeeds({
+      context: this.#context,
+      store: options.store,
+      pageSizer: options.pageSizer,
+      progressTables: [ROSTER_TABLE, LEDGER_TABLE, WAVE_TABLE, VM_ORDER_TABLE],
+      registryTable: options.registry.table,
+      onProgress: (getRows) => {
+        this.#loadProgress(getRows);
+      },
+    });
   }
 
-  /** Loads the job progress and wave progress of earlier terms and starts scheduling. */
-  async open(): Promise<void> {
+  /** Loads what earlier terms have stored and starts scheduling. */
+  open(): void {
     this.start();
-    const { jobs, reconciliation, roster, term } = this.#context;
-    for (const target of term.predecessor?.targets ?? []) reconciliation.expectReport(target);
-    roster.load(await this.#readRows(ROSTER_TABLE));
-    jobs.loadLedgerRows(await this.#readRows(LEDGER_TABLE));
-    this.#vmManager?.loadWaves(await this.#readRows(WAVE_TABLE));
-    this.#vmManager?.loadOrders(await this.#readRows(VM_ORDER_TABLE));
-    this.#startFeedConsumer(INTAKE_TABLE, INTAKE_PARTS, INTAKE_POLL_PAUSE_MS, 'intake');
+    this.#feeds.open();
     this.#ticker = setInterval(() => {
       this.post({ kind: 'tick' });
     }, TICK_MS);
   }
 
-  /** Stops scheduling. A planned hand-over first tries once to write the pending job progress. */
-  async close(isHandOver: boolean): Promise<void> {
+  /**
+   * Prepares a planned hand-over: starts nothing more, but renews the leases on targets until `close`,
+   * so that no run ends before a successor has taken over. Tries once to write the pending progress.
+   */
+  async beginHandOver(): Promise<void> {
+    const { clock, leasePolicy, writer } = this.#context;
+    this.#isHandingOver = true;
+    this.#feeds.close();
+    this.#vmManager?.stop();
+    leasePolicy.extend(clock.now + HAND_OVER_MS);
+    await writer.flush();
+  }
+
+  /** Ends the term. */
+  close(): void {
     if (this.#isClosed) return;
     this.#isClosed = true;
     clearInterval(this.#ticker);
-    for (const consumer of this.#feedConsumers) consumer.stop();
-    if (isHandOver) await this.#context.ledger.flush();
-    this.#context.ledger.stop();
-    this.#context.roster.stop();
+    this.#feeds.close();
+    this.#context.writer.stop();
     this.#vmManager?.stop();
     this.stop();
   }
 
   /** Describes this term for the contenders. */
   describeTerm(): TermReport {
-    return { isSettled: this.#hasLoadedJobs, successors: this.#options.listSuccessors() };
+    const { clock, leasePolicy } = this.#context;
+    return {
+      isSettled: this.#hasLoadedJobs,
+      successors: this.#options.listSuccessors(),
+      targetLeaseMs: leasePolicy.computeAnnouncedMs(clock.now),
+    };
+  }
+
+  /** Records that a report of this term is stored, and the milliseconds that the store took. */
+  recordRenewal({ targetLeaseMs }: TermReport, latencyMs: number): void {
+    const { clock, leasePolicy } = this.#context;
+    leasePolicy.recordAnnounced(targetLeaseMs);
+    leasePolicy.recordStoreLatency(latencyMs, clock.now);
   }
 
   /**
@@ -225,7 +252,7 @@
         break;
       case 'plan':
         this.#isPlanDue = false;
-        this.#planner.plan();
+        if (!this.#isHandingOver) this.#planner.plan();
         return;
     }
     this.#schedulePlan();
@@ -241,24 +268,24 @@
         logger.writeError('owner mailbox full', { kind: message.kind });
       }
     };
-    const onFenced = (): void => {
-      depose('the fence has changed');
-    };
-    const ledger = new Ledger({
+    const writer = new FencedWriter({
       store,
       term,
       logger,
       onWritten: (changeNumber) => {
         post({ kind: 'written', changeNumber });
       },
-      onFenced,
-      onEndStored: (job) => {
-        this.#archiver.add(job);
+      onFenced: () => {
+        depose('the fence has changed');
       },
     });
-    const leaseMs = getLeaseMs(bounds) / MINIMUM_CLOCK_RATE;
+    const ledger = new Ledger(writer, (job) => {
+      this.#archiver.add(job);
+    });
+    // Rows of the first owner have no predecessor that could have granted a lease.
+    const predecessorLeaseMs = term.predecessor?.targetLeaseMs ?? 0;
     const fleet = new Fleet();
-    const reconciliation = new Reconciliation(leaseMs, clock.now);
+    const reconciliation = new Reconciliation(predecessorLeaseMs / MINIMUM_CLOCK_RATE, clock.now);
     return {
       term,
       clock,
@@ -271,9 +298,11 @@
       active: new Map<string, JobRecord>(),
       arrivals: new PoolArrivals(),
       ledger,
+      leasePolicy: new LeasePolicy(bounds.leaseMaximumMs),
       durations: new DurationModel(),
       reconciliation,
-      roster: new TargetRoster({ store, term, logger, clock, fleet, reconciliation, onFenced }),
+      roster: new TargetRoster({ writer, logger, clock, fleet, reconciliation }),
+      writer,
       getOperatorView,
       post,
       depose,
@@ -294,29 +323,13 @@
     });
   }
 
-  async #readRows(table: string): Promise<readonly Row[]> {
-    const { store, pageSizer } = this.#options;
-    return readOwnerRows(store, table, pageSizer, () => !this.#isClosed);
-  }
-
-  #startFeedConsumer(
-    table: string,
-    parts: readonly string[],
-    pauseMs: number,
-    kind: 'intake' | 'registry',
-  ): void {
-    const consumer = new FeedConsumer({
-      store: this.#options.store,
-      pageSizer: this.#options.pageSizer,
-      table,
-      parts,
-      pauseMs,
-      onRows: (rows, isSnapshot) => {
-        this.#context.post({ kind, rows, isSnapshot });
-      },
-    });
-    this.#feedConsumers.push(consumer);
-    void consumer.run();
+  #loadProgress(getRows: (table: string) => readonly Row[]): void {
+    const { jobs, reconciliation, roster, term } = this.#context;
+    for (const target of term.predecessor?.targets ?? []) reconciliation.expectReport(target);
+    roster.load(getRows(ROSTER_TABLE));
+    jobs.loadLedgerRows(getRows(LEDGER_TABLE));
+    this.#vmManager?.loadWaves(getRows(WAVE_TABLE));
+    this.#vmManager?.loadOrders(getRows(VM_ORDER_TABLE));
   }
 
   #applyIntake(rows: readonly Row[], isSnapshot: boolean): void {
@@ -325,7 +338,7 @@
     if (!isFirst) return;
     this.#hasLoadedJobs = true;
     this.#context.logger.writeInfo('jobs read', { active: this.#context.active.size });
-    this.#startFeedConsumer(this.#options.registry.table, [''], REGISTRY_POLL_PAUSE_MS, 'registry');
+    this.#feeds.recordJobsLoaded();
   }
 
   #applyImmediateReport({ target, report, sentAt }: OwnerMessage & { kind: 'looked' }): void {
@@ -372,6 +385,7 @@
     }
     this.#context.roster.sweep();
     this.#leaseRenewer.sendDue();
+    if (this.#isHandingOver) return;
     this.#vmManager?.sweep();
     for (const sweeper of this.#sweepers) sweeper.sweep();
   }
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -1,10 +1,8 @@
 import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
-import type { OwnerBounds, OwnerContext } from './context.ts';
+import type { OwnerContext } from './context.ts';
 import { OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 
-/** Milliseconds until the deadline of a start and lease expiry: long enough for a take-over. */
-export const LEASE_MS = 3_000;
 /** Milliseconds before an unanswered stop is retried. */
 const STOP_RETRY_MS = 400;
 /** Milliseconds for which a target that refused a start gets no new work. */
@@ -20,11 +18,6 @@
   return context.term.epoch * RUNS_PER_EPOCH + task.step.startCount;
 }
 
-/** Gets the lease duration in milliseconds, limited to the longest that targets grant. */
-export function getLeaseMs(bounds: OwnerBounds): number {
-  return Math.min(LEASE_MS, bounds.leaseMaximumMs);
-}
-
 /** Sends start and stop orders to targets and applies their outcomes. */
 export class RunOrders {
   readonly #context: OwnerContext;
@@ -37,7 +30,7 @@
   start(task: TaskRun, target: TargetRecord, run: number, ticket?: string): void {
     const { clock, fleet, post, targetPort, term } = this.#context;
     const { now } = clock;
-    const leaseMs = getLeaseMs(this.#context.bounds);
+    const leaseMs = this.#context.leasePolicy.normalMs;
     const deadline = target.grantLease(leaseMs, now);
     const attempt = buildAttempt(target, run, AttemptPhase.Starting, now);
     attempt.expiresAt = now + leaseMs / MINIMUM_CLOCK_RATE;
--- a/packages/execution/src/target-roster.ts
+++ b/packages/execution/src/target-roster.ts
@@ -1,8 +1,8 @@
-import type { LeasedTarget, Term } from '@currantgap/ownership';
-import type { Row, Store } from '@currantgap/store';
+import type { LeasedTarget } from '@currantgap/ownership';
+import type { Row } from '@currantgap/store';
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
-import { FencedRow, FencedWriter } from './fenced-writer.ts';
+import { FencedRow, type FencedWriter } from './fenced-writer.ts';
 import type { Fleet } from './fleet.ts';
 import type { Reconciliation } from './reconciliation.ts';
 import { RosterState } from './roster-state.ts';
@@ -13,13 +13,11 @@
 
 /** Options of a roster. */
 export interface TargetRosterOptions {
-  readonly store: Store;
-  readonly term: Term;
+  readonly writer: FencedWriter;
   readonly logger: Logger;
   readonly clock: Clock;
   readonly fleet: Fleet;
   readonly reconciliation: Reconciliation;
-  readonly onFenced: () => void;
 }
 
 /**
@@ -28,20 +26,10 @@
  */
 export class TargetRoster {
   readonly #options: TargetRosterOptions;
-  readonly #writer: FencedWriter;
   readonly #rows = new Map<string, TargetRow>();
 
   constructor(options: TargetRosterOptions) {
     this.#options = options;
-    const { store, term, logger, onFenced } = options;
-    this.#writer = new FencedWriter({
-      store,
-      term,
-      logger,
-      table: ROSTER_TABLE,
-      onWritten: () => undefined,
-      onFenced,
-    });
   }
 
   /** Loads the targets on which earlier owners may hold leases; malformed rows are logged. */
@@ -65,7 +53,8 @@
     }
     for (const target of fleet.targets) {
       if (values.has(target.id)) continue;
-      if (!target.isRegistered && target.leasesExpireAt <= now) continue;
+      const hasEnded = target.leasesExpireAt <= now || fleet.isTerminated(target);
+      if (!target.isRegistered && hasEnded) continue;
       values.set(target.id, encodeTarget(describeTarget(target)));
     }
     for (const [id, value] of values) this.#change(id, value);
@@ -76,20 +65,16 @@
     }
   }
 
-  /** Prevents further writes; used when the term ends. */
-  stop(): void {
-    this.#writer.stop();
-  }
-
   #change(id: string, value: string | undefined): void {
     const row = this.#rows.get(id) ?? new TargetRow(id, this.#options.fleet, undefined, 0);
     this.#rows.set(id, row);
-    if (row.change(value)) this.#writer.add(row);
+    if (row.change(value)) this.#options.writer.addUrgent(row);
   }
 }
 
 /** The roster row of one target. */
 class TargetRow extends FencedRow {
+  readonly table = ROSTER_TABLE;
   readonly key: string;
   version: number;
   readonly #fleet: Fleet;
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -121,6 +121,7 @@
 
   #applyList(vms: readonly Vm[], requestedAt: number): void {
     this.#isListed = true;
+    this.#settleEndedTargets(vms);
     this.#vms.clear();
     for (const vm of vms) this.#vms.set(vm.name, vm);
     for (const operation of [...this.#operations.values()]) {
@@ -132,6 +133,22 @@
     }
   }
 
+  /**
+   * Settles the targets of earlier terms that no VM runs any more: their runs ended with them, so
+   * nobody needs to wait for their reports.
+   */
+  #settleEndedTargets(vms: readonly Vm[]): void {
+    const { clock, logger, reconciliation } = this.#context;
+    const running = new Set(vms.map(({ targetId }) => targetId));
+    // Without the ids of targets, the list says nothing about them.
+    if (!vms.some(({ targetId }) => targetId !== undefined)) return;
+    for (const { id } of reconciliation.listPending(clock.now)) {
+      if (running.has(id)) continue;
+      reconciliation.recordReport(id);
+      logger.writeInfo('target no longer on any VM', { target: id });
+    }
+  }
+
   #finishOperation(operation: VmOperation): void {
     this.#operations.delete(operation.vm);
     const tookMs = Math.round(this.#context.clock.now - operation.startedAt);
--- a/packages/execution/src/vm-order-log.ts
+++ b/packages/execution/src/vm-order-log.ts
@@ -1,7 +1,7 @@
 import type { Row, Store } from '@currantgap/store';
 import { Stopwatch } from '@currantgap/tasks';
 import type { OwnerContext } from './context.ts';
-import { FencedRow, FencedWriter } from './fenced-writer.ts';
+import { FencedRow } from './fenced-writer.ts';
 
 /** Table with one row that names the VMs for which orders were sent lately. */
 export const VM_ORDER_TABLE = 'vm-orders';
@@ -24,7 +24,6 @@
 export class VmOrderLog {
   readonly #context: OwnerContext;
   readonly #store: Store;
-  readonly #writer: FencedWriter;
   readonly #row: OrderRow;
   readonly #pauseMs: number;
   /** Monotonic times until which the protocol allows only the predecessor to order VMs. */
@@ -32,21 +31,11 @@
   #allBlockedUntil = 0;
 
   constructor(context: OwnerContext, store: Store) {
-    const { term, logger, bounds, clock, depose } = context;
+    const { term, bounds, clock } = context;
     this.#context = context;
     this.#store = store;
     this.#pauseMs = bounds.holderChangeMs + HOLDER_CHANGE_MARGIN_MS;
     this.#row = new OrderRow(store, this.#pauseMs);
-    this.#writer = new FencedWriter({
-      store,
-      term,
-      logger,
-      table: VM_ORDER_TABLE,
-      onWritten: () => undefined,
-      onFenced: () => {
-        depose('the fence has changed');
-      },
-    });
     if (term.predecessor?.logsVmOrders === false) this.#refuseAll(clock.now);
   }
 
@@ -78,13 +67,12 @@
   async record(vm: string): Promise<boolean> {
     return new Promise((resolve) => {
       this.#row.add({ vm, resolve });
-      this.#writer.add(this.#row);
+      this.#context.writer.addUrgent(this.#row);
     });
   }
 
-  /** Prevents further writes; used when the term ends. */
+  /** Permits no further orders; used when the term ends. */
   stop(): void {
-    this.#writer.stop();
     this.#row.abandon();
   }
 
@@ -95,6 +83,7 @@
 
 /** The row with the recent orders: times on the store's clock by VM. */
 class OrderRow extends FencedRow {
+  readonly table = VM_ORDER_TABLE;
   readonly key = ROW_KEY;
   version = 0;
   readonly #store: Store;
--- a/packages/execution/test/ledger.test.ts
+++ b/packages/execution/test/ledger.test.ts
@@ -60,7 +60,7 @@
     await waitUntil(() => harness.deposeReasons.length > 0);
     assert.deepEqual(harness.deposeReasons, ['fenced']);
     assert.equal(harness.store.peek(ROW), undefined);
-    harness.context.ledger.stop();
+    harness.context.writer.stop();
   });
 
   it('leaves half of the time of a slow store to lease renewals', async () => {
@@ -76,7 +76,7 @@
       harness.store.commitCount - commits <= 6,
       `${harness.store.commitCount - commits} in 2 s`,
     );
-    harness.context.ledger.stop();
+    harness.context.writer.stop();
   });
 
   it('reports no change as written while a job of a failed attempt is pending behind others', async () => {
@@ -95,7 +95,7 @@
     harness.store.failure = StoreFailure.None;
     await waitUntil(() => harness.writtenChanges.some((written) => written >= changeNumber));
     assert.notEqual(harness.store.peek(ROW), undefined);
-    ledger.stop();
+    harness.context.writer.stop();
   });
 
   it('reports changes as written under steady load, when jobs are always pending', async () => {
@@ -114,7 +114,7 @@
     await waitUntil(() => harness.store.peek(ROW) !== undefined);
     await sleep(200);
     clearInterval(load);
-    ledger.stop();
+    harness.context.writer.stop();
     assert.ok(harness.writtenChanges.some((written) => written >= first));
     assert.ok(harness.writtenChanges.every((written) => written < number));
   });
--- a/packages/execution/test/sweepers.test.ts
+++ b/packages/execution/test/sweepers.test.ts
@@ -134,7 +134,7 @@
       assert.ok(ended);
       harness.context.jobs.archive(id, ended);
     }
-    const purger = new JobPurger(harness.context, harness.store, new PageSizer());
+    const purger = new JobPurger(harness.context, harness.store, new PageSizer(1_000));
     purger.sweep();
     await flushPromises();
     assert.deepEqual(listRemaining(harness), ['00000000000000a1', '00000000000000b0']);
@@ -152,7 +152,7 @@
     const harness = await createEndedJobs();
     const malformed = { ...getRow('00000000000000c0'), value: '{' };
     await harness.store.commit({ conditions: [], puts: [malformed], removals: [] });
-    const purger = new JobPurger(harness.context, harness.store, new PageSizer());
+    const purger = new JobPurger(harness.context, harness.store, new PageSizer(1_000));
     for (let period = 0; period < 10; period += 1) {
       harness.advance(PERIOD_MS);
       purger.sweep();
--- a/packages/execution/test/target-roster.test.ts
+++ b/packages/execution/test/target-roster.test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from 'node:test';
 import { OWNER_PART } from '@currantgap/ownership';
 import { StoreFailure, waitUntil } from '@currantgap/standins';
-import { PageSizer } from '@currantgap/store';
+import { PageSizer, type Row } from '@currantgap/store';
 import { AttemptPhase } from '@currantgap/jobs';
 import { readOwnerRows } from '../src/owner-rows.ts';
 import { RosterState } from '../src/roster-state.ts';
@@ -43,10 +43,16 @@
   return task.name;
 }
 
+async function readRoster(harness: TermHarness): Promise<readonly Row[]> {
+  const pageSizer = new PageSizer(1_000);
+  const getRows = await readOwnerRows(harness.store, [ROSTER_TABLE], pageSizer, () => true);
+  return getRows(ROSTER_TABLE);
+}
+
 /** Lists what a successor expects, from the rows that are in the store now. */
 async function readPending(harness: TermHarness): Promise<readonly string[]> {
   const successor = new TermHarness();
-  const rows = await readOwnerRows(harness.store, ROSTER_TABLE, new PageSizer(), () => true);
+  const rows = await readRoster(harness);
   successor.context.roster.load(rows);
   const { reconciliation } = successor.context;
   return reconciliation
@@ -104,11 +110,20 @@
     await waitUntil(() => harness.store.peek(ROW) === undefined);
   });
 
+  it('drops a target at once whose VM was taken away, so that no successor waits for it', async () => {
+    const { harness, target } = await createHarness();
+    await sweepUntil(harness, target, RosterState.Listed);
+    target.leasesExpireAt = harness.now + LEASE_MS;
+    harness.fleet.terminate(target);
+    harness.context.roster.sweep();
+    await waitUntil(() => harness.store.peek(ROW) === undefined);
+  });
+
   it('keeps the targets of an earlier term that have not reported yet', async () => {
     const { harness, target } = await createHarness();
     await sweepUntil(harness, target, RosterState.Listed);
     const successor = new TermHarness();
-    const rows = await readOwnerRows(harness.store, ROSTER_TABLE, new PageSizer(), () => true);
+    const rows = await readRoster(harness);
     successor.context.roster.load(rows);
     successor.context.roster.sweep();
     assert.deepEqual(
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -17,9 +17,11 @@
 import { err, type Result } from 'neverthrow';
 import type { OwnerContext } from '../src/context.ts';
 import { PartitionGuard } from '../src/partition-guard.ts';
+import { FencedWriter } from '../src/fenced-writer.ts';
 import { Fleet } from '../src/fleet.ts';
 import { getIntakePart, INTAKE_TABLE } from '../src/intake-tables.ts';
 import { JobIndex, type JobRecord } from '../src/job-index.ts';
+import { LeasePolicy } from '../src/lease-policy.ts';
 import { Ledger } from '../src/ledger.ts';
 import type { OwnerMessage } from '../src/messages.ts';
 import { PoolArrivals } from '../src/pool-arrivals.ts';
@@ -180,9 +182,13 @@
     const logger = new Logger();
     const { store, clock, fleet } = this;
     const reconciliation = new Reconciliation(LEASE_MS, clock.now);
-    const onFenced = (): void => {
-      this.deposeReasons.push('fenced');
-    };
+    const writer = new FencedWriter({
+      store,
+      term,
+      logger,
+      onWritten: (changeNumber) => this.writtenChanges.push(changeNumber),
+      onFenced: () => this.deposeReasons.push('fenced'),
+    });
     this.context = {
       term,
       clock: this.clock,
@@ -200,17 +206,12 @@
       jobs: new JobIndex(logger),
       active: new Map<string, JobRecord>(),
       arrivals: new PoolArrivals(),
-      ledger: new Ledger({
-        store: this.store,
-        term,
-        logger,
-        onWritten: (changeNumber) => this.writtenChanges.push(changeNumber),
-        onEndStored: (job) => this.endedJobs.push(job),
-        onFenced,
-      }),
+      writer,
+      leasePolicy: new LeasePolicy(LEASE_MS),
+      ledger: new Ledger(writer, (job) => this.endedJobs.push(job)),
       durations: new DurationModel(),
       reconciliation,
-      roster: new TargetRoster({ store, term, logger, clock, fleet, reconciliation, onFenced }),
+      roster: new TargetRoster({ writer, logger, clock, fleet, reconciliation }),
       getOperatorView: () => ({
         configuration: this.configuration,
         evacuated: this.evacuated,
--- a/packages/execution/test/vm-controller.test.ts
+++ b/packages/execution/test/vm-controller.test.ts
@@ -41,8 +41,11 @@
   }
 }
 
-async function createController() {
+async function createController(pendingTargets: readonly string[] = []) {
   const harness = new TermHarness();
+  for (const id of pendingTargets) {
+    harness.context.reconciliation.expectReport({ id, service: 'kartes' });
+  }
   await harness.writeFence();
   const { context, store } = harness;
   const port = new FakeVmPort();
@@ -110,6 +113,16 @@
     log.stop();
   });
 
+  it('settles targets of earlier terms that no VM runs any more, and waits for all others', async () => {
+    const { harness, log } = await createController(['t1', 't9']);
+    const pending = harness.context.reconciliation.listPending(harness.now);
+    assert.deepEqual(
+      pending.map(({ id }) => id),
+      ['t1'],
+    );
+    log.stop();
+  });
+
   it('gets work again when the plan is abandoned', async () => {
     const { harness, controller, log } = await createController();
     const target = harness.addTarget('t1');
--- a/packages/execution/test/vm-order-log.test.ts
+++ b/packages/execution/test/vm-order-log.test.ts
@@ -17,8 +17,11 @@
   options: HarnessOptions = {},
 ): Promise<{ harness: TermHarness; log: VmOrderLog }> {
   const harness = new TermHarness(options);
-  const log = new VmOrderLog(harness.context, predecessor.store);
-  log.load(await readOwnerRows(predecessor.store, VM_ORDER_TABLE, new PageSizer(), () => true));
+  const { store } = predecessor;
+  const log = new VmOrderLog(harness.context, store);
+  const pageSizer = new PageSizer(1_000);
+  const getRows = await readOwnerRows(store, [VM_ORDER_TABLE], pageSizer, () => true);
+  log.load(getRows(VM_ORDER_TABLE));
   return { harness, log };
 }
 
--- a/packages/features/platform.feature
+++ b/packages/features/platform.feature
@@ -22,6 +22,15 @@
     And no task ran twice
     And the process of the stopped node exits by itself
 
+  Scenario: The owner is stopped gracefully while the store is slow
+    Given a deployment with 3 nodes and 3 targets
+    When the store takes 250 ms for a transaction
+    And 4 submissions with tasks of 5000 ms are sent
+    And the owner is stopped gracefully
+    Then all submissions complete
+    And no run has lost its lease
+    And no task ran twice
+
   Scenario: A paused owner resumes after another node has taken over
     Given a deployment with 3 nodes and 3 targets
     When 4 submissions are sent to every node
--- a/packages/features/steps/platform-steps.ts
+++ b/packages/features/steps/platform-steps.ts
@@ -41,9 +41,13 @@
 }
 
 /** Retries a submission until it is accepted. */
-async function submit(node: NodeProcess, id: string): Promise<SubmissionResponse> {
+async function submit(
+  node: NodeProcess,
+  id: string,
+  taskSpec = TASK_SPEC,
+): Promise<SubmissionResponse> {
   for (;;) {
-    const response = await getState().deployment.submit(node, id, [3, 2], TASK_SPEC);
+    const response = await getState().deployment.submit(node, id, [3, 2], taskSpec);
     if (response.status === 200) return response;
     await sleep(RETRY_DELAY_MS);
   }
@@ -145,6 +149,24 @@
   await Promise.all(calls);
 });
 
+When('the store takes {int} ms for a transaction', (ms: number) => {
+  getState().deployment.storeServer.store.transactionMs = ms;
+});
+
+When('{int} submissions with tasks of {int} ms are sent', async (count: number, ms: number) => {
+  const { deployment, submissionIds } = getState();
+  const taskSpec = { ...TASK_SPEC, ms };
+  const [node] = deployment.nodes;
+  assert.ok(node);
+  const calls = Array.from({ length: count }, async () => {
+    const id = createSubmissionId();
+    submissionIds.push(id);
+    await submit(node, id, taskSpec);
+  });
+  await Promise.all(calls);
+  await Promise.all(submissionIds.map((id) => deployment.waitForState(id, ['running'])));
+});
+
 When('the owner is killed', async () => {
   await getOwner().kill();
 });
@@ -220,6 +242,14 @@
   }
 });
 
+Then('no run has lost its lease', () => {
+  const { runs } = getState().deployment.runHistory;
+  assert.deepEqual(
+    runs.filter(({ endKind }) => endKind === 'lapsed'),
+    [],
+  );
+});
+
 Then('no task ran twice', () => {
   assert.deepEqual(getState().deployment.runHistory.findDuplicateTasks(), []);
 });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,4 +1,4 @@
-import { Owner } from '@currantgap/execution';
+import { NORMAL_LEASE_MS, Owner } from '@currantgap/execution';
 import { acceptForwarder, Forwarder, ForwarderPool } from '@currantgap/forwarding';
 import { IngressHandler } from '@currantgap/ingress';
 import { describeError } from '@currantgap/model';
@@ -48,6 +48,8 @@
  * second and takes a node out after two failed checks.
  */
 const DEREGISTRATION_MS = 2_800;
+/** Milliseconds for which a hand-over waits for the pending progress to be written. */
+const MAXIMUM_FLUSH_MS = 150;
 /** Milliseconds before the platform's SIGKILL at which the process ends despite calls in flight. */
 const GRACE_MARGIN_MS = 700;
 /** Milliseconds between checks for calls in flight during shutdown. */
@@ -58,7 +60,11 @@
 const MAXIMUM_HEADER_BYTES = 65_536;
 
 /** Report of a term whose owner has not been created yet. */
-const UNSETTLED_TERM: TermReport = { isSettled: false, successors: [] };
+const UNSETTLED_TERM: TermReport = {
+  isSettled: false,
+  successors: [],
+  targetLeaseMs: NORMAL_LEASE_MS,
+};
 
 /** One process: serves the API to clients and contends for the ownership of the fleet. */
 export class Node extends OwnershipListener {
@@ -70,7 +76,7 @@
   /** Connections of their own, so that lease renewals wait for no other call. */
   readonly #leaseHttpClient = new HttpClient(LEASE_CONNECTIONS);
   readonly #store: HttpStore;
-  readonly #pageSizer = new PageSizer();
+  readonly #pageSizer: PageSizer;
   readonly #operatorFeed: OperatorFeedConsumer;
   readonly #ingress: IngressHandler;
   readonly #ownership: Ownership;
@@ -88,6 +94,7 @@
     this.#settings = settings;
     this.#logger = logger;
     this.#store = new HttpStore(() => settings.current.storeAddress, this.#httpClient);
+    this.#pageSizer = new PageSizer(settings.current.linkMbps);
     this.#operatorFeed = new OperatorFeedConsumer(this.#store, this.#pageSizer, logger, () => {
       this.#owner?.post({ kind: 'configured' });
     });
@@ -139,12 +146,11 @@
     const { graceMs } = this.#settings.current.bounds;
     const deadline = performance.now() + graceMs - GRACE_MARGIN_MS;
     this.#logger.writeInfo('node stopping', { isOwner: this.#owner !== undefined });
-    const owner = this.#owner;
-    if (owner !== undefined) await owner.close(true);
+    const handOver = this.#owner?.beginHandOver();
+    await Promise.race([handOver, sleep(MAXIMUM_FLUSH_MS)]);
     await this.#ownership.release();
-    this.#owner = undefined;
-    this.#forwarderPool?.close();
     await sleep(DEREGISTRATION_MS);
+    this.#closeOwner();
     while (this.#ingress.inFlight > 0 && performance.now() < deadline) await sleep(DRAIN_POLL_MS);
     this.close();
     this.#logger.writeInfo('node stopped', { cutOff: this.#ingress.inFlight });
@@ -188,33 +194,42 @@
       vmPort: this.#createVmPort(),
       advicePort: this.#createAdvicePort(),
       hasFreshLease: () => this.#ownership.isLeaseFresh,
-      hasValidLease: () => this.#ownership.isLeaseValid,
+      hasValidLease: () => this.#isStopping || this.#ownership.isLeaseValid,
       encodeWaveStatus: (wave, isComplete) => ({
         table: STATUS_TABLE,
         ...encodeWaveStatus(wave, isComplete),
       }),
       onDeposed: (reason) => {
-        this.#ownership.endTerm(reason);
+        if (this.#isStopping) this.#closeOwner();
+        else this.#ownership.endTerm(reason);
       },
     });
     this.#owner = owner;
-    void owner.open();
+    owner.open();
   }
 
   override handleLost(reason: string): void {
     this.#metrics.isOwner.set(0);
     this.#logger.writeWarning('ownership lost', { reason });
-    if (this.#isStopping) return;
-    void this.#owner?.close(false);
-    this.#owner = undefined;
-    this.#forwarderPool?.close();
-    this.#forwarderPool = undefined;
+    // While this node is stopping, the owner renews leases until a successor has taken over.
+    if (!this.#isStopping) this.#closeOwner();
   }
 
   override describeTerm(): TermReport {
     return this.#owner?.describeTerm() ?? UNSETTLED_TERM;
   }
 
+  override handleRenewed(report: TermReport, latencyMs: number): void {
+    this.#owner?.recordRenewal(report, latencyMs);
+  }
+
+  #closeOwner(): void {
+    this.#owner?.close();
+    this.#owner = undefined;
+    this.#forwarderPool?.close();
+    this.#forwarderPool = undefined;
+  }
+
   #createVmPort(): HttpVms | undefined {
     const { vmServiceAddress, node } = this.#settings.current;
     if (vmServiceAddress === undefined) return undefined;
@@ -262,7 +277,8 @@
 
   #createIngress(): IngressHandler {
     const owner = new OwnerClient(this.#httpClient, () => ({
-      local: this.#owner,
+      // An owner that is handing over no longer knows what its successor does.
+      local: this.#ownership.term === undefined ? undefined : this.#owner,
       address: this.#ownership.lease?.address,
     }));
     return new IngressHandler({
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -22,6 +22,8 @@
 const MAXIMUM_POLL_MS = 2_000;
 /** Minimum milliseconds of one poll. */
 const MINIMUM_POLL_MS = 20;
+/** Outcome of a release that was stored. */
+const WRITTEN = 'written';
 /** Attempts at releasing the lease; a renewal in flight may overtake the first one. */
 const RELEASE_ATTEMPTS = 3;
 
@@ -45,6 +47,8 @@
   #renewalWatch = new Stopwatch();
   /** Latency in milliseconds of the last renewal. */
   #latencyMs = 0;
+  /** Latency in milliseconds of the last read of the lease row. */
+  #readLatencyMs = 0;
   /** Number of consecutive terms before this one that ended before their owner had settled. */
   #unsettledTerms = 0;
   /** Epoch of this process's last term; a term that has ended is never resumed. */
@@ -100,7 +104,11 @@
     const report = this.#options.listener.describeTerm();
     this.endTerm('released');
     const lease = { ...this.#buildLease(term.epoch, report), isReleased: true };
+    const sentAt = performance.now();
     const outcome = await this.#writeRelease(term, encodeLease(lease));
+    if (outcome === WRITTEN) {
+      this.#options.listener.handleRenewed(lease, performance.now() - sentAt);
+    }
     this.#options.logger.writeInfo('ownership released', {
       epoch: term.epoch,
       successors: lease.successors.join(' '),
@@ -115,7 +123,7 @@
     for (let attempt = 0; attempt < RELEASE_ATTEMPTS; attempt += 1) {
       const options = { store, fenceVersion, version: this.#leaseVersion };
       const result = await putLease(options, value);
-      if (result.isOk()) return 'written';
+      if (result.isOk()) return WRITTEN;
       outcome = result.error.message;
       if (result.error.kind !== StoreFaultKind.Conflict) continue;
       const version = findCurrentVersion(result.error, fenceVersion);
@@ -134,14 +142,27 @@
     }
     if (this.#isStopped || this.#term !== undefined) return;
     if (this.#isOwnTakeOver()) this.#beginTerm(this.#leaseVersion);
-    else if (this.#computeRemainingWait() <= 0) await this.#takeOver();
+    else if (await this.#isTakeOverDue()) await this.#takeOver();
+  }
+
+  /**
+   * Whether this node may take over. Unless the lease was released, reads it once more: the owner may
+   * have renewed it meanwhile, or may only be as slow as the store.
+   */
+  async #isTakeOverDue(): Promise<boolean> {
+    if (this.#computeRemainingWait() > 0) return false;
+    if (this.#lease === undefined || this.#lease.isReleased) return true;
+    if (!(await this.#readLease()) || this.#isStopped) return false;
+    return this.#computeRemainingWait() <= 0;
   }
 
   async #readLease(): Promise<boolean> {
     const { table, part } = LEASE_ROW;
+    const sentAt = performance.now();
     const page = await this.#options.store.read({ table, part });
     if (page.isErr()) return this.#recordFailure(page.error);
     this.#recordSuccess();
+    this.#readLatencyMs = performance.now() - sentAt;
     this.#feedVersion = page.value.version;
     const [row] = page.value.rows;
     if (row === undefined) this.#recordLease(undefined, 0);
@@ -216,6 +237,7 @@
       unchangedMs: performance.now() - this.#unchangedSince,
       // After a failed call, the owner may have been unable to renew too.
       storeNow: this.#hasFailed ? undefined : store.now,
+      storeLatencyMs: this.#readLatencyMs,
     });
   }
 
@@ -279,9 +301,10 @@
       this.endTerm('another node took over');
       return;
     }
-    if (result.sentWatch === undefined) return;
+    if (result.written === undefined) return;
     this.#leaseVersion = result.version;
-    this.#renewalWatch = result.sentWatch;
+    this.#renewalWatch = result.written.sentWatch;
+    this.#options.listener.handleRenewed(result.written.lease, result.latencyMs);
     if (this.#isFailing) this.#options.logger.writeInfo('lease renewed again');
     this.#isFailing = false;
   }
--- a/packages/ownership/src/renewal.ts
+++ b/packages/ownership/src/renewal.ts
@@ -28,12 +28,18 @@
   readonly outcome: RenewalOutcome;
   /** Version of the lease row after the renewal. */
   readonly version: number;
-  /** Measures the time since the successful attempt was sent; undefined if there is none. */
-  readonly sentWatch: Stopwatch | undefined;
+  /** The attempt that was written; undefined if there is none. */
+  readonly written: WrittenLease | undefined;
   /** Milliseconds that the response which decided the outcome took. */
   readonly latencyMs: number;
 }
 
+/** A lease that was written, and when it was sent. */
+export interface WrittenLease {
+  readonly lease: LeaseRow;
+  readonly sentWatch: Stopwatch;
+}
+
 /** Options of one renewal. */
 export interface RenewalOptions {
   readonly store: Store;
@@ -52,10 +58,9 @@
 }
 
 /** One attempt at a renewal. */
-interface Attempt {
+interface Attempt extends WrittenLease {
   /** Monotonic time, in milliseconds. */
   readonly sentAt: number;
-  readonly sentWatch: Stopwatch;
 }
 
 /** Renews the lease once: sends overlapping attempts until one shows the current lease row. */
@@ -87,8 +92,9 @@
       this.#report(RenewalOutcome.Abandoned, this.#options.previousLatencyMs);
       return;
     }
-    const attempt = { sentAt: performance.now(), sentWatch: new Stopwatch() };
-    const value = encodeLease(buildLease());
+    const lease = buildLease();
+    const attempt = { lease, sentAt: performance.now(), sentWatch: new Stopwatch() };
+    const value = encodeLease(lease);
     this.#attempts.set(value, attempt);
     this.#timer = setTimeout(() => {
       this.#send();
@@ -129,7 +135,7 @@
     version = this.#options.version,
     written?: Attempt,
   ): void {
-    this.#settle({ outcome, version, latencyMs, sentWatch: written?.sentWatch });
+    this.#settle({ outcome, version, latencyMs, written });
   }
 }
 
--- a/packages/ownership/src/rows.ts
+++ b/packages/ownership/src/rows.ts
@@ -29,6 +29,8 @@
   readonly slackMs: number;
   /** Lease expiry on the store's monotonic clock; undefined if that clock was not known. */
   readonly expiresAt: number | undefined;
+  /** Milliseconds of the longest lease that the owner may have granted on a target. */
+  readonly targetLeaseMs: number;
   /** Whether the owner stores each order for a VM before it sends it. */
   readonly logsVmOrders: boolean;
   /** Targets on which the owner may hold leases; only in rows of earlier versions of the product. */
@@ -52,6 +54,7 @@
   isSettled: true,
   unsettledTerms: 0,
   successors: [],
+  targetLeaseMs: 3_000,
   logsVmOrders: false,
 };
 
--- a/packages/ownership/src/take-over-timing.ts
+++ b/packages/ownership/src/take-over-timing.ts
@@ -28,6 +28,11 @@
 const SLACK_LATENCIES = 2;
 /** Maximum milliseconds that contenders add to the lease because the store is slow. */
 const MAXIMUM_SLACK_MS = 2_000;
+/**
+ * Number of store latencies that a contender leaves the owner if it finds the store slow itself: a
+ * renewal waits behind other transactions, and the owner's lease row does not tell of it yet.
+ */
+const CONTENDER_LATENCIES = 6;
 /** Milliseconds that contenders add to the lease of an owner that has not settled. */
 const UNSETTLED_SLACK_MS = 800;
 /** Maximum milliseconds of that addition after several terms that ended before they settled. */
@@ -86,6 +91,8 @@
   readonly unchangedMs: number;
   /** The store's clock; undefined if unknown or if any store call of this process has failed. */
   readonly storeNow: number | undefined;
+  /** Milliseconds that the store took for the contender's last read of the lease row. */
+  readonly storeLatencyMs: number;
 }
 
 /** Computes the milliseconds until a contender may take over; 0 or less means now. */
@@ -94,8 +101,15 @@
   if (lease === undefined) return takeOverDelayMs - unchangedMs;
   const delayMs = computeContentionDelay(lease, view);
   if (lease.isReleased) return delayMs - unchangedMs;
-  const waitMs = LEASE_MS + lease.slackMs + delayMs - unchangedMs;
-  return Math.min(computeTimeToExpiry(lease, delayMs, view), waitMs);
+  const patienceMs = delayMs + computeContenderSlack(lease, view);
+  const waitMs = LEASE_MS + lease.slackMs + patienceMs - unchangedMs;
+  return Math.min(computeTimeToExpiry(lease, patienceMs, view), waitMs);
+}
+
+/** Computes the milliseconds that a contender adds to the slack of the lease row. */
+function computeContenderSlack({ slackMs }: LeaseRow, { storeLatencyMs }: LeaseView): number {
+  const requiredMs = Math.min(MAXIMUM_SLACK_MS, CONTENDER_LATENCIES * storeLatencyMs);
+  return Math.max(0, requiredMs - slackMs);
 }
 
 /** Computes the milliseconds that a contender waits after lease expiry or release. */
--- a/packages/ownership/src/term.ts
+++ b/packages/ownership/src/term.ts
@@ -19,6 +19,8 @@
   readonly isSettled: boolean;
   /** Nodes that may take over before all others, the most suitable one first. */
   readonly successors: readonly string[];
+  /** Milliseconds of the longest lease that this node may have granted, or may grant, on a target. */
+  readonly targetLeaseMs: number;
 }
 
 /** Receives the ownership events of this node and supplies the state that renewals write. */
@@ -29,6 +31,8 @@
   abstract handleLost(reason: string): void;
   /** Returns the state that the next renewal writes. */
   abstract describeTerm(): TermReport;
+  /** Called when a lease row with a report is stored, and how long the store took for it. */
+  abstract handleRenewed(report: TermReport, latencyMs: number): void;
 }
 
 /** Options of a contender. */
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -21,6 +21,7 @@
   readonly losses: string[] = [];
   /** Number of reports that were requested for a take-over or a renewal. */
   reports = 0;
+  renewals = 0;
   isSettled = true;
   successors: string[] = [];
 
@@ -32,10 +33,14 @@
     this.losses.push(reason);
   }
 
+  handleRenewed(): void {
+    this.renewals += 1;
+  }
+
   describeTerm(): TermReport {
     this.reports += 1;
     const { isSettled, successors } = this;
-    return { isSettled, successors };
+    return { isSettled, successors, targetLeaseMs: 3_000 };
   }
 }
 
--- a/packages/ownership/test/take-over-timing.test.ts
+++ b/packages/ownership/test/take-over-timing.test.ts
@@ -19,12 +19,19 @@
   successors: [],
   slackMs: 0,
   expiresAt: 10_000,
+  targetLeaseMs: 3_000,
   logsVmOrders: true,
 };
 
-function computeWait(changes: Partial<LeaseRow>, storeNow?: number, unchangedMs = 0): number {
+function computeWait(
+  changes: Partial<LeaseRow>,
+  storeNow?: number,
+  unchangedMs = 0,
+  storeLatencyMs = 0,
+): number {
   const lease = { ...LEASE, ...changes };
-  return computeRemainingWait({ lease, node: 'b', takeOverDelayMs: 50, unchangedMs, storeNow });
+  const view = { lease, node: 'b', takeOverDelayMs: 50, unchangedMs, storeNow, storeLatencyMs };
+  return computeRemainingWait(view);
 }
 
 describe('the wait before a take-over', () => {
@@ -37,6 +44,15 @@
     assert.equal(computeWait({ slackMs: 540 }), LEASE_MS + 540 + 50);
   });
 
+  it('leaves the owner the time of some answers of a store that the contender finds slow', () => {
+    for (const storeNow of [undefined, 10_100]) {
+      const fast = computeWait({}, storeNow, LEASE_MS, 5);
+      const slow = computeWait({}, storeNow, LEASE_MS, 300);
+      assert.ok(slow - fast > 4 * 300, `${slow - fast}`);
+    }
+    assert.equal(computeWait({ slackMs: 2_000 }, undefined, 0, 300), LEASE_MS + 2_050);
+  });
+
   it('is longer on a node with too few cores or a slow link, whatever the jitter', () => {
     const computeDelays = (cores: number, linkMbps: number): number[] =>
       [0, 1].map((random) => computeTakeOverDelay({ cores, linkMbps }, random));
--- a/packages/store/src/page-sizer.ts
+++ b/packages/store/src/page-sizer.ts
@@ -1,42 +1,89 @@
-/** Rows of the first page: few, since the throughput of the link is not known yet. */
-const INITIAL_ROWS = 16;
-const MINIMUM_ROWS = 4;
+/** Bytes of a row on the wire, from which the first window is computed: those of a submission. */
+const ASSUMED_ROW_BYTES = 2_200;
+/** Megabits per second that are assumed of a link whose bandwidth is not known. */
+const ASSUMED_LINK_MBPS = 5;
+const BYTES_PER_MEGABIT = 125_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const MINIMUM_WINDOW = 4;
+const MAXIMUM_WINDOW = 4_000;
+/** Rows of the smallest page that is worth a call of its own beside others. */
+const MINIMUM_CONCURRENT_ROWS = 16;
+/** Pages in flight at the same time while the window is large. */
+const MAXIMUM_CONCURRENCY = 12;
 /** The store returns at most this many rows per page. */
 const MAXIMUM_ROWS = 500;
-/** Milliseconds that a page should take at most, since other calls wait for it on the same link. */
-const TARGET_PAGE_MS = 100;
-/** Pages that take less than this share of the target are enlarged. */
+/** Milliseconds that the pages in flight should take, since other calls wait for them on the link. */
+const TARGET_TRANSFER_MS = 100;
+/** Pages that take less than this share of the target enlarge the window. */
 const ENLARGE_BELOW = 0.5;
 const ENLARGE_FACTOR = 2;
 
-/** Adapts the number of rows per page to the measured throughput of the link to the store. */
+/**
+ * Limits the rows that all scans of a process request at the same time, and adapts the limit to the
+ * measured throughput of the link to the store.
+ */
 export class PageSizer {
-  #rows = INITIAL_ROWS;
+  /** Rows that should be in flight at most. */
+  #window: number;
+  #pagesInFlight = 0;
+  readonly #waiting: (() => void)[] = [];
 
-  /** Number of rows to request per page. */
+  /** `linkMbps` is the nominal bandwidth of the link in megabits per second, infinite if unknown. */
+  constructor(linkMbps: number) {
+    const knownMbps = Number.isFinite(linkMbps) ? linkMbps : ASSUMED_LINK_MBPS;
+    const bytes = knownMbps * BYTES_PER_MEGABIT * (TARGET_TRANSFER_MS / MILLISECONDS_PER_SECOND);
+    this.#window = computeWindow(bytes / ASSUMED_ROW_BYTES);
+  }
+
+  /** Rows to request per page. */
   get rows(): number {
-    return this.#rows;
+    const shared = Math.floor(this.#window / MAXIMUM_CONCURRENCY);
+    const rows = Math.max(Math.min(MINIMUM_CONCURRENT_ROWS, this.#window), shared);
+    return Math.min(MAXIMUM_ROWS, rows);
+  }
+
+  /** Pages that may be in flight at the same time. */
+  get concurrency(): number {
+    return Math.max(1, Math.floor(this.#window / this.rows));
+  }
+
+  /** Waits until another page may be requested; `release` must be called after it. */
+  async acquire(): Promise<void> {
+    if (this.#pagesInFlight < this.concurrency) this.#pagesInFlight += 1;
+    else await new Promise<void>((resolve) => this.#waiting.push(resolve));
   }
 
-  /** Records a page whose bytes took `transferMs` to arrive, without the latency of the store. */
-  recordPage(rows: number, transferMs: number): void {
-    if (transferMs > TARGET_PAGE_MS) {
-      this.#setRows((rows * TARGET_PAGE_MS) / transferMs);
+  /** Records that a page is no longer in flight. */
+  release(): void {
+    this.#pagesInFlight -= 1;
+    while (this.#pagesInFlight < this.concurrency && this.#waiting.length > 0) {
+      this.#pagesInFlight += 1;
+      this.#waiting.shift()?.();
+    }
+  }
+
+  /**
+   * Records a page of which `requestedRows` were requested and whose bytes took `transferMs` to
+   * arrive, without the latency of the store.
+   */
+  recordPage(requestedRows: number, rows: number, transferMs: number): void {
+    if (transferMs > TARGET_TRANSFER_MS) {
+      this.#window = computeWindow((this.#window * TARGET_TRANSFER_MS) / transferMs);
       return;
     }
     // A page that was not full says nothing about larger ones.
-    const isFull = rows >= this.#rows;
-    if (isFull && transferMs < ENLARGE_BELOW * TARGET_PAGE_MS) {
-      this.#setRows(this.#rows * ENLARGE_FACTOR);
+    const isFull = rows >= requestedRows;
+    if (isFull && transferMs < ENLARGE_BELOW * TARGET_TRANSFER_MS) {
+      this.#window = computeWindow(this.#window * ENLARGE_FACTOR);
     }
   }
 
   /** Records a page that did not arrive in time. */
   recordTimeout(): void {
-    this.#setRows(this.#rows / ENLARGE_FACTOR);
+    this.#window = computeWindow(this.#window / ENLARGE_FACTOR);
   }
+}
 
-  #setRows(rows: number): void {
-    this.#rows = Math.max(MINIMUM_ROWS, Math.min(MAXIMUM_ROWS, Math.floor(rows)));
-  }
+function computeWindow(rows: number): number {
+  return Math.max(MINIMUM_WINDOW, Math.min(MAXIMUM_WINDOW, Math.floor(rows)));
 }
--- a/packages/store/src/row-scanner.ts
+++ b/packages/store/src/row-scanner.ts
@@ -1,6 +1,7 @@
+import type { Result } from 'neverthrow';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { StoreFaultKind, type RangePage, type Row, type Store, type StoreFault } from './store.ts';
 import type { PageSizer } from './page-sizer.ts';
+import { StoreFaultKind, type RangePage, type Row, type Store, type StoreFault } from './store.ts';
 
 /** Milliseconds before a page that could not be read is requested again. */
 const RETRY_DELAY_MS = 100;
@@ -14,7 +15,6 @@
 /** Options of a scan. */
 export interface ScanOptions {
   readonly store: Store;
-  /** Parts to read, in this order. */
   readonly ranges: readonly TablePart[];
   readonly pageSizer: PageSizer;
   /** Whether the rows are still wanted; the scan ends early once they are not. */
@@ -27,57 +27,70 @@
 export interface ScanResult {
   readonly rows: readonly Row[];
   /**
-   * Version of the first page. Changes after it may be missing from later pages, so a change feed
+   * Lowest version of all pages. Changes after it may be missing from some of them, so a change feed
    * must be consumed from here.
    */
   readonly version: number;
 }
 
 /**
- * Reads all rows of some parts, one page at a time, so that other calls on the same link wait for
- * one page at most. A page that cannot be read is requested again; pages read before it are kept.
- * Returns undefined if the rows are no longer wanted.
+ * Reads all rows of some parts in pages, as many at a time as the link carries without delaying other
+ * calls. A page that cannot be read is requested again; the other pages are kept. Returns undefined
+ * if the rows are no longer wanted.
  */
 export async function scanRows(options: ScanOptions): Promise<ScanResult | undefined> {
-  const rows: Row[] = [];
-  let version: number | undefined;
-  for (const range of options.ranges) {
-    let from = '';
-    let hasMore = true;
-    while (hasMore) {
-      const page = await readPage(options, range, from);
-      if (page === undefined) return undefined;
-      version ??= page.version;
-      rows.push(...page.rows);
-      hasMore = page.hasMore;
-      from = getNextKey(page.rows);
-    }
+  const pages: RangePage[] = [];
+  await Promise.all(options.ranges.map(async (range) => readRange(options, range, pages)));
+  if (!options.isActive()) return undefined;
+  return {
+    rows: pages.flatMap(({ rows }) => rows),
+    version: Math.min(...pages.map(({ version }) => version)),
+  };
+}
+
+async function readRange(
+  options: ScanOptions,
+  range: TablePart,
+  pages: RangePage[],
+): Promise<void> {
+  let from = '';
+  for (;;) {
+    const page = await readPage(options, range, from);
+    if (page === undefined) return;
+    pages.push(page);
+    if (!page.hasMore) return;
+    // The smallest key greater than that of the last row.
+    from = `${page.rows.at(-1)?.key ?? ''}\0`;
   }
-  return { rows, version: version ?? 0 };
 }
 
 async function readPage(
-  { store, pageSizer, isActive, onFault }: ScanOptions,
+  options: ScanOptions,
   range: TablePart,
   from: string,
 ): Promise<RangePage | undefined> {
+  const { pageSizer, isActive, onFault } = options;
   let isFailing = false;
   while (isActive()) {
-    const page = await store.read({ ...range, from, limit: pageSizer.rows });
-    if (page.isOk()) {
-      pageSizer.recordPage(page.value.rows.length, page.value.transferMs);
-      if (isFailing) onFault?.(undefined);
-      return isActive() ? page.value : undefined;
-    }
-    if (page.error.kind === StoreFaultKind.Unknown) pageSizer.recordTimeout();
-    if (!isFailing) onFault?.(page.error);
-    isFailing = true;
+    await pageSizer.acquire();
+    const page = await requestPage(options, range, from);
+    if (page.isErr() !== isFailing) onFault?.(page.isErr() ? page.error : undefined);
+    isFailing = page.isErr();
+    pageSizer.release();
+    if (page.isOk()) return page.value;
     await sleep(RETRY_DELAY_MS);
   }
   return undefined;
 }
 
-/** Gets the smallest key greater than that of the last row. */
-function getNextKey(rows: readonly Row[]): string {
-  return `${rows.at(-1)?.key ?? ''}\0`;
+async function requestPage(
+  { store, pageSizer }: ScanOptions,
+  range: TablePart,
+  from: string,
+): Promise<Result<RangePage, StoreFault>> {
+  const { rows } = pageSizer;
+  const page = await store.read({ ...range, from, limit: rows });
+  if (page.isOk()) pageSizer.recordPage(rows, page.value.rows.length, page.value.transferMs);
+  else if (page.error.kind === StoreFaultKind.Unknown) pageSizer.recordTimeout();
+  return page;
 }
--- a/packages/store/test/feed-consumer.test.ts
+++ b/packages/store/test/feed-consumer.test.ts
@@ -21,7 +21,7 @@
       table: ROW.table,
       parts: [ROW.part],
       store,
-      pageSizer: new PageSizer(),
+      pageSizer: new PageSizer(1_000),
       pauseMs: PAUSE_MS,
       onRows: (rows, isSnapshot) => seen.push([rows.map(({ key }) => key).join(), isSnapshot]),
     });
@@ -50,7 +50,7 @@
       table: ROW.table,
       parts: [ROW.part],
       store,
-      pageSizer: new PageSizer(),
+      pageSizer: new PageSizer(1_000),
       pauseMs: 0,
       onRows: (rows) => seen.push(...rows.map(({ key }) => key)),
       onFault: (fault) => faults.push(fault !== undefined),
--- a/packages/store/test/row-scanner.test.ts
+++ b/packages/store/test/row-scanner.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { MemoryStore, StoreFailure } from '@currantgap/standins';
 import {
   PageSizer,
@@ -10,6 +11,8 @@
 } from '@currantgap/store';
 import type { Result } from 'neverthrow';
 
+/** Bandwidth on which one page is read at a time. */
+const SLOW_LINK_MBPS = 1;
 const KEYS = Array.from({ length: 1_100 }, (_, index) => `k${String(index).padStart(5, '0')}`);
 
 /** A store behind a link on which each row takes `rowMs` and a long response is never complete. */
@@ -50,10 +53,15 @@
 describe('scanRows', () => {
   const ranges = ['a', 'b'].map((part) => ({ table: 'things', part }));
 
-  it('reads all pages of all parts, from the version of the first page', async () => {
+  it('reads all pages of all parts, from the lowest version of them', async () => {
     const store = await createStore(['a', 'b']);
     const { version } = store;
-    const scan = scanRows({ store, ranges, pageSizer: new PageSizer(), isActive: () => true });
+    const scan = scanRows({
+      store,
+      ranges,
+      pageSizer: new PageSizer(SLOW_LINK_MBPS),
+      isActive: () => true,
+    });
     await store.commit({ conditions: [], puts: [], removals: [] });
     const result = await scan;
     assert.equal(result?.rows.length, 2 * KEYS.length);
@@ -61,13 +69,13 @@
   });
 
   it('goes on after an outage without reading a page twice', async () => {
-    const store = await createStore(['a', 'b']);
+    const store = await createStore(['a']);
     store.pagesBeforeOutage = 3;
     const faults: boolean[] = [];
     const result = await scanRows({
       store,
-      ranges,
-      pageSizer: new PageSizer(),
+      ranges: ranges.slice(0, 1),
+      pageSizer: new PageSizer(SLOW_LINK_MBPS),
       isActive: () => true,
       onFault: (fault) => {
         faults.push(fault !== undefined);
@@ -76,10 +84,10 @@
       },
     });
     assert.deepEqual(faults, [true, false]);
-    assert.equal(result?.rows.length, 2 * KEYS.length);
+    assert.equal(result?.rows.length, KEYS.length);
     assert.equal(
       store.pages.reduce((sum, rows) => sum + rows, 0),
-      2 * KEYS.length,
+      KEYS.length,
     );
   });
 
@@ -90,7 +98,7 @@
     const result = await scanRows({
       store,
       ranges: ranges.slice(0, 1),
-      pageSizer: new PageSizer(),
+      pageSizer: new PageSizer(SLOW_LINK_MBPS),
       isActive: () => true,
     });
     assert.equal(result?.rows.length, KEYS.length);
@@ -104,7 +112,7 @@
     const scan = scanRows({
       store,
       ranges,
-      pageSizer: new PageSizer(),
+      pageSizer: new PageSizer(SLOW_LINK_MBPS),
       isActive: () => isActive,
       onFault: () => (isActive = false),
     });
@@ -112,22 +120,72 @@
   });
 });
 
+/** A store that counts the reads in flight. */
+class CountingStore extends MemoryStore {
+  inFlight = 0;
+  mostInFlight = 0;
+
+  override async read(query: RangeQuery): Promise<Result<RangePage, StoreFault>> {
+    this.inFlight += 1;
+    this.mostInFlight = Math.max(this.mostInFlight, this.inFlight);
+    await sleep(5);
+    this.inFlight -= 1;
+    return super.read(query);
+  }
+}
+
+describe('scanRows on a fast link to a slow store', () => {
+  it('reads many parts in the time of a few answers', async () => {
+    const store = new CountingStore();
+    const result = await scanRows({
+      store,
+      ranges: Array.from({ length: 8 }, (_, index) => ({ table: 'things', part: `p${index}` })),
+      pageSizer: new PageSizer(1_000),
+      isActive: () => true,
+    });
+    assert.deepEqual(result?.rows, []);
+    assert.equal(store.mostInFlight, 8);
+  });
+});
+
 describe('PageSizer', () => {
-  it('enlarges pages on a fast link, but not because of pages that were not full', () => {
-    const pageSizer = new PageSizer();
-    const initial = pageSizer.rows;
-    pageSizer.recordPage(1, 1);
-    assert.equal(pageSizer.rows, initial);
-    for (let page = 0; page < 10; page += 1) pageSizer.recordPage(pageSizer.rows, 1);
-    assert.equal(pageSizer.rows, 500);
+  it('plans one small page at a time on a slow link and many on a fast one', () => {
+    const slow = new PageSizer(1.4);
+    assert.deepEqual([slow.concurrency, slow.rows], [1, 7]);
+    assert.equal(new PageSizer(140).concurrency, 12);
+    assert.ok(new PageSizer(Infinity).concurrency <= 2, 'an unknown link may be slow');
+  });
+
+  it('enlarges the window on a fast link, but not because of pages that were not full', () => {
+    const pageSizer = new PageSizer(10);
+    const { concurrency } = pageSizer;
+    pageSizer.recordPage(16, 1, 1);
+    assert.equal(pageSizer.concurrency, concurrency);
+    for (let page = 0; page < 20; page += 1) pageSizer.recordPage(16, 16, 1);
+    assert.equal(pageSizer.concurrency, 12);
+    assert.ok(pageSizer.rows > 16);
   });
 
-  it('reduces pages that take long to arrive to what arrives in 100 ms', () => {
-    const pageSizer = new PageSizer();
-    pageSizer.recordPage(16, 200);
-    assert.equal(pageSizer.rows, 8);
-    pageSizer.recordTimeout();
-    pageSizer.recordTimeout();
-    assert.equal(pageSizer.rows, 4);
+  it('reduces the window to what arrives in 100 ms, and after answers that did not arrive', () => {
+    const pageSizer = new PageSizer(28);
+    assert.equal(pageSizer.concurrency, 9);
+    pageSizer.recordPage(16, 16, 300);
+    assert.equal(pageSizer.concurrency, 3);
+    for (let timeout = 0; timeout < 10; timeout += 1) pageSizer.recordTimeout();
+    assert.deepEqual([pageSizer.concurrency, pageSizer.rows], [1, 4]);
+  });
+
+  it('lets no more pages into flight than planned, over all scans', async () => {
+    const pageSizer = new PageSizer(28);
+    const { concurrency } = pageSizer;
+    let acquired = 0;
+    for (let page = 0; page < 2 * concurrency; page += 1) {
+      void pageSizer.acquire().then(() => (acquired += 1));
+    }
+    await sleep(1);
+    assert.equal(acquired, concurrency);
+    for (let page = 0; page < concurrency; page += 1) pageSizer.release();
+    await sleep(1);
+    assert.equal(acquired, 2 * concurrency);
   });
 });
