feat(execution): the log tells how old the reports were when a VM is planned and ordered

What callers saw (AVAIL): more tasks of a persistent step were unavailable at once than its disruption budget allows.

The logs could not tell whether the targets of an ordered VM had reported. Ruled out so far: lapsed leases (the tasks ended as "gone" at the moment of the order). Change: "VM planned" and the new "VM order sent" name each target of the VM and the age of its report. Conclusion: the log now separates "not heard from" from "heard to be empty".

--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -79,13 +79,15 @@
     const { now } = this.#context.clock;
     this.#operations.set(vm, { vm, plan, startedAt: now, phase: VmPhase.Draining, orderedAt: 0 });
     const { fleet, logger } = this.#context;
+    const targets = fleet.listOnVm(vm);
     fleet.cordon(vm);
     logger.writeInfo('VM planned', {
       vm,
       plan: plan.kind,
       to: plan.kind === 'move' ? plan.pool : plan.wave,
       from: this.#vms.get(vm)?.pool ?? '',
-      tasks: countTasks(fleet.listOnVm(vm)),
+      tasks: countTasks(targets),
+      reports: describeReports(targets, now),
     });
   }
 
@@ -178,6 +180,9 @@
     if (!this.#vmOrders.canSendFor(operation.vm)) return;
     operation.phase = VmPhase.Ordered;
     operation.orderedAt = clock.now;
+    const { vm, plan } = operation;
+    const reports = describeReports(targets, clock.now);
+    this.#context.logger.writeInfo('VM order sent', { vm, plan: plan.kind, reports });
     void this.#vmOrders.send(operation).then((outcome) => {
       this.#applyOutcome(operation, outcome);
     });
@@ -240,6 +245,15 @@
   );
 }
 
+/** Describes for logs how old the last report of each target is; empty if no target is known. */
+function describeReports(targets: readonly TargetRecord[], now: number): string {
+  return targets
+    .map(({ id, reportedAt }) =>
+      reportedAt === undefined ? `${id}: none` : `${id}: ${Math.round(now - reportedAt)} ms old`,
+    )
+    .join(', ');
+}
+
 function countTasks(targets: readonly TargetRecord[]): number {
   return targets.reduce((sum, { assignmentCount }) => sum + assignmentCount, 0);
 }
