test(execution): VMs whose targets have not reported are ordered as if they were empty

What callers saw (AVAIL): persistent tasks at work were ended beyond the disruption budget. Cause shown: a VM counts as drained when no run is assigned to its registered targets. After a take-over the owner has not heard from them, and a target that lost its registry entry is not counted at all. Ruled out: lapsed leases; a miscounted budget is possible by the code, but no run has shown it.

--- /dev/null
+++ b/packages/execution/test/unreported-targets.test.ts
@@ -0,0 +1,170 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { AttemptPhase, type Job, type TaskRun } from '@currantgap/jobs';
+import { waitUntil } from '@currantgap/standins';
+import { JobLookup } from '../src/job-lookup.ts';
+import { ReportProcessor } from '../src/report-processor.ts';
+import { buildAttempt } from '../src/run-orders.ts';
+import type { TargetRecord } from '../src/target-record.ts';
+import { createReport, createRunning, createTarget, type TermHarness } from './term-harness.ts';
+import { createController, VM } from './vm-harness.ts';
+
+const JOB_ID = '0000000000000001';
+const MOVE = { kind: 'move', pool: 'velves' } as const;
+const PERSISTENT_PAIR = { isPersistent: true, count: 2, disruptionBudget: 1 };
+/** Longer than the store and the VM service take to carry an order out. */
+const ORDER_MS = 60;
+
+type Setup = Awaited<ReturnType<typeof createController>>;
+
+/** Registers a target that has not reported in this term. */
+function addUnreported(harness: TermHarness, id: string): TargetRecord {
+  const { deadline } = harness.context.reconciliation;
+  const target = harness.fleet.register(createTarget(id), deadline);
+  assert.ok(target);
+  return target;
+}
+
+function getTask(job: Job, index: number): TaskRun {
+  const task = job.openOccurrence(0).steps[0]?.tasks[index];
+  assert.ok(task);
+  return task;
+}
+
+/** Sweeps and waits as long as an order would take; returns the VMs that were moved. */
+async function sweep({ controller, port }: Setup): Promise<readonly string[]> {
+  controller.sweep();
+  await sleep(ORDER_MS);
+  return port.moves;
+}
+
+// Incident of 2026-12-04: after a take-over, VMs whose targets had not been heard from counted as
+// empty. The orders for them ended more persistent tasks than the disruption budget allows.
+describe('a VM that may run tasks of an earlier term', () => {
+  it('is not ordered before the target that the VM list names is registered', async () => {
+    const setup = await createController();
+    setup.controller.startPlan(VM.name, MOVE);
+    assert.deepEqual(await sweep(setup), []);
+    setup.harness.addTarget('t1');
+    assert.deepEqual(await sweep(setup), [VM.name]);
+    setup.log.stop();
+  });
+
+  it('is not ordered before its target has reported in this term', async () => {
+    const setup = await createController();
+    const target = addUnreported(setup.harness, 't1');
+    setup.controller.startPlan(VM.name, MOVE);
+    assert.deepEqual(await sweep(setup), []);
+    target.reportedAt = setup.harness.now;
+    assert.deepEqual(await sweep(setup), [VM.name]);
+    setup.log.stop();
+  });
+
+  it('is ordered although its target is silent, once no lease of an earlier term can last', async () => {
+    const setup = await createController();
+    const { harness, controller, port, log } = setup;
+    addUnreported(harness, 't1');
+    controller.startPlan(VM.name, MOVE);
+    harness.clock.advanceTo(harness.context.reconciliation.deadline - 1);
+    assert.deepEqual(await sweep(setup), []);
+    harness.advance(2);
+    controller.sweep();
+    await waitUntil(() => port.moves.length === 1);
+    log.stop();
+  });
+
+  it('is not ordered while its target lists a run whose job is not known yet', async () => {
+    const setup = await createController();
+    const { harness, controller, orders, log } = setup;
+    const target = harness.addTarget('t1');
+    const lookup = new JobLookup(harness.context, harness.store);
+    const processor = new ReportProcessor(harness.context, orders, lookup);
+    const report = createReport({ running: [createRunning(`${JOB_ID}.0.0.0`, 1)] });
+    processor.apply(target, report, harness.now);
+    controller.startPlan(VM.name, MOVE);
+    assert.deepEqual(await sweep(setup), []);
+    harness.advance(1);
+    processor.apply(target, createReport(), harness.now);
+    assert.deepEqual(await sweep(setup), [VM.name]);
+    log.stop();
+  });
+});
+
+// Incident of 2026-12-04, farolito-prod: a target that was cut off from the store lost its registry
+// entry and still ran tasks; its VM counted as empty 0.3 s later.
+describe('a VM whose target has lost its registry entry', () => {
+  it('is not ordered while tasks run there, and gets no work when the entry comes back', async () => {
+    const setup = await createController();
+    const { harness, controller, log } = setup;
+    const target = harness.addTarget('t1');
+    const task = getTask(harness.addJob(JOB_ID, [{}]), 0);
+    const attempt = buildAttempt(target, 1, AttemptPhase.Running, harness.now);
+    harness.fleet.assign(target, task, attempt);
+    harness.fleet.unregister('t1');
+    controller.startPlan(VM.name, MOVE);
+    assert.deepEqual(await sweep(setup), []);
+    harness.fleet.register(createTarget('t1'), 0);
+    assert.equal(target.isOpen(harness.now), false);
+    harness.fleet.unassign(target, { task, attempt });
+    assert.deepEqual(await sweep(setup), [VM.name]);
+    log.stop();
+  });
+});
+
+// Guards the disruption budget around a take-over: what the successor does not know of a task must
+// not make it stop another one.
+describe('a persistent task on a VM with a plan', () => {
+  interface Pair extends Setup {
+    readonly targets: readonly [TargetRecord, TargetRecord];
+  }
+
+  /** Two tasks of a step, of which one may be unavailable, each in service on a target. */
+  async function createPair(): Promise<Pair> {
+    const setup = await createController();
+    const { harness, orders } = setup;
+    const targets = [harness.addTarget('t1'), harness.addTarget('t2')] as const;
+    const job = harness.addJob(JOB_ID, [PERSISTENT_PAIR], true);
+    const lookup = new JobLookup(harness.context, harness.store);
+    const processor = new ReportProcessor(harness.context, orders, lookup);
+    for (const [index, target] of targets.entries()) {
+      const running = { ...createRunning(getTask(job, index).name, 1), percent: 100 };
+      processor.apply(target, createReport({ running: [running] }), harness.now);
+    }
+    return { ...setup, targets };
+  }
+
+  function listStops({ harness }: Setup): string[] {
+    return harness.targetPort.stops.map(({ target }) => target);
+  }
+
+  it('is kept while a stop that the predecessor sent may still end another one', async () => {
+    const pair = await createPair();
+    const { harness, controller, targets, log } = pair;
+    controller.startPlan(VM.name, MOVE);
+    controller.sweep();
+    assert.deepEqual(listStops(pair), []);
+    harness.advance(harness.context.bounds.stopMs + 1);
+    controller.sweep();
+    assert.deepEqual(listStops(pair), []);
+    for (const target of targets) target.reportedAt = harness.now;
+    controller.sweep();
+    assert.deepEqual(listStops(pair), ['t1']);
+    log.stop();
+  });
+
+  it('is kept while the target of another one is silent', async () => {
+    const pair = await createPair();
+    const { harness, controller, targets, log } = pair;
+    harness.advance(harness.context.bounds.stopMs + 1);
+    for (const target of targets) target.reportedAt = harness.now;
+    targets[1].unansweredCalls = 1;
+    controller.startPlan(VM.name, MOVE);
+    controller.sweep();
+    assert.deepEqual(listStops(pair), []);
+    targets[1].unansweredCalls = 0;
+    controller.sweep();
+    assert.deepEqual(listStops(pair), ['t1']);
+    log.stop();
+  });
+});
--- a/packages/execution/test/vm-controller.test.ts
+++ b/packages/execution/test/vm-controller.test.ts
@@ -1,68 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { AttemptPhase } from '@currantgap/jobs';
-import { VmState, type Vm } from '@currantgap/model';
 import { waitUntil } from '@currantgap/standins';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { JobLookup } from '../src/job-lookup.ts';
-import { VmOrderOutcome, VmPort, type VmOrder } from '../src/ports.ts';
-import { ReportProcessor } from '../src/report-processor.ts';
-import { buildAttempt, RunOrders } from '../src/run-orders.ts';
-import { VmController } from '../src/vm-controller.ts';
-import { VmOrderLog } from '../src/vm-order-log.ts';
-import { VmOrders } from '../src/vm-orders.ts';
-import { createTarget, flushPromises, TermHarness } from './term-harness.ts';
-
-const VM: Vm = {
-  name: 'vm-t1',
-  pool: 'kartes',
-  state: VmState.Up,
-  dataCentre: 'riga-a',
-  labels: [],
-  capacity: { cpuMillis: 4_000, memoryMb: 16_384, gpus: 0 },
-  targetId: 't1',
-};
-
-/** Records the moves that are ordered. */
-class FakeVmPort extends VmPort {
-  readonly moves: string[] = [];
-
-  async list(): Promise<readonly Vm[]> {
-    return Promise.resolve([VM]);
-  }
-
-  async move({ vm }: VmOrder): Promise<VmOrderOutcome> {
-    this.moves.push(vm);
-    return Promise.resolve(VmOrderOutcome.Accepted);
-  }
-
-  async maintain(): Promise<VmOrderOutcome> {
-    return Promise.resolve(VmOrderOutcome.Accepted);
-  }
-}
-
-async function createController(pendingTargets: readonly string[] = []) {
-  const harness = new TermHarness();
-  for (const id of pendingTargets) {
-    harness.context.reconciliation.expectReport({ id, service: 'kartes' });
-  }
-  await harness.writeFence();
-  const { context, store } = harness;
-  const port = new FakeVmPort();
-  const log = new VmOrderLog(context, store);
-  const orders = new RunOrders(context);
-  const controller = new VmController({
-    context,
-    orders,
-    reportProcessor: new ReportProcessor(context, orders, new JobLookup(context, store)),
-    vmOrders: new VmOrders({ context, port, log, hasFreshLease: () => true }),
-    port,
-    onMaintained: () => undefined,
-  });
-  controller.sweep();
-  await flushPromises();
-  return { harness, port, controller, log };
-}
+import { buildAttempt } from '../src/run-orders.ts';
+import { createTarget, flushPromises } from './term-harness.ts';
+import { createController, VM } from './vm-harness.ts';
 
 describe('a VM with a plan', () => {
   it('gets no new work, and is ordered away only once it is empty', async () => {
