fix(execution): a VM is ordered only once it is known to be empty

Cause: absence of a report was read as absence of runs. A VM counted as drained when no run was assigned to its registered targets: true for every VM right after a take-over, for a target that is cut off from the owner, and for one whose registry entry expired while it ran on. Waves even chose such VMs first, and the pool sizer took them as idle donors. Ruled out: lapsed leases (the tasks ended as "gone" with the order).

Change: the occupancy of a VM has three values, unknown, occupied and empty. Empty needs a report of this term from every target that the registry has named and from the one that the VM list names, with all listed runs known, or the end of every lease that can have been granted there. Targets of a VM are found whether or not the registry has an entry for them, so a cordon also holds when the entry comes back. A run of an earlier term counts as ready only after a predecessor's stop would have ended it, and none on a silent target does.

One existing test waited for an order although the VM list names a target that never registered; it now starts after the last lease of an earlier term, and asserts the same.

Conclusion: no order is given on what the owner has not heard.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -6,6 +6,7 @@
 /** All targets, the runs assigned to them and the resources that each team uses. */
 export class Fleet {
   readonly #targets = new Map<string, TargetRecord>();
+  readonly #byVm = new Map<string, Set<TargetRecord>>();
   readonly #running = new Map<string, ResourceSum>();
   readonly #cordonedVms = new Set<string>();
   /** Incarnations that have ended, as Unix milliseconds of their start, by target id. */
@@ -40,22 +41,25 @@
       const created = new TargetRecord(entry, leasesExpireAt);
       created.isCordoned = entry.vm !== undefined && this.#cordonedVms.has(entry.vm);
       this.#targets.set(entry.id, created);
+      this.#addToVm(created);
       return created;
     }
     if (known.entry.bornAt !== entry.bornAt) known.isIncarnationUncertain = true;
+    this.#removeFromVm(known);
     known.entry = entry;
     known.isRegistered = true;
+    this.#addToVm(known);
     return known;
   }
 
   /**
-   * Lists the registered targets of a VM. There may be two: the registry keeps the entry of a target
-   * for some seconds after it has ended, when the next one on the VM has registered already.
+   * Lists the targets of a VM that may run tasks, whether or not the registry has an entry for them:
+   * an entry expires while its target is cut off from the registry. There may be two: the registry
+   * keeps the entry of a target for some seconds after it has ended, when the next one on the VM has
+   * registered already.
    */
   listOnVm(vm: string): TargetRecord[] {
-    return [...this.#targets.values()].filter(
-      (target) => target.entry.vm === vm && target.isRegistered,
-    );
+    return [...(this.#byVm.get(vm) ?? [])].filter((target) => !this.isTerminated(target));
   }
 
   /** Gives a VM no new work; this includes a target that registers there later. */
@@ -91,7 +95,9 @@
 
   /** Forgets a target that is not registered and has no assigned runs. */
   forget(target: TargetRecord): void {
-    if (!target.isRegistered && target.assignmentCount === 0) this.#targets.delete(target.id);
+    if (target.isRegistered || target.assignmentCount > 0) return;
+    this.#targets.delete(target.id);
+    this.#removeFromVm(target);
   }
 
   /** Assigns a run to a target and reserves its resources. */
@@ -117,4 +123,19 @@
     this.#running.set(team, created);
     return created;
   }
+
+  #addToVm(target: TargetRecord): void {
+    const { vm } = target.entry;
+    if (vm === undefined) return;
+    const targets = this.#byVm.get(vm) ?? new Set();
+    this.#byVm.set(vm, targets.add(target));
+  }
+
+  #removeFromVm(target: TargetRecord): void {
+    const { vm } = target.entry;
+    if (vm === undefined) return;
+    const targets = this.#byVm.get(vm);
+    targets?.delete(target);
+    if (targets?.size === 0) this.#byVm.delete(vm);
+  }
 }
--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -4,6 +4,7 @@
 import type { JobRecord } from './job-index.ts';
 import type { PoolLoad } from './pool-load.ts';
 import type { VmController } from './vm-controller.ts';
+import { findOccupancy, VmOccupancy } from './vm-occupancy.ts';
 
 /** Milliseconds for which a pool must have surplus VMs before one is switched off. */
 const SURPLUS_MS = 2_000;
@@ -51,16 +52,15 @@
   #groupVms(): Map<string, MovableVm[]> {
     const { fleet, getOperatorView } = this.#context;
     const { evacuated } = getOperatorView();
-    const byVm = new Map([...fleet.targets].map((target) => [target.entry.vm, target]));
     const groups = new Map<string, MovableVm[]>();
     for (const vm of this.#vmController.vms) {
       if (vm.state === VmState.Down || evacuated.has(vm.dataCentre)) continue;
       const operation = this.#vmController.findOperation(vm.name);
       if (operation?.plan.kind === 'maintain') continue;
-      const target = byVm.get(vm.name);
-      if (target?.entry.state === TargetState.Draining) continue;
+      const targets = fleet.listOnVm(vm.name);
+      if (targets.some(({ entry }) => entry.state === TargetState.Draining)) continue;
       const pool = operation?.plan.kind === 'move' ? operation.plan.pool : vm.pool;
-      const assignments = target === undefined ? [] : [...target.assignments];
+      const assignments = targets.flatMap((target) => [...target.assignments]);
       const member = {
         vm,
         tasks: assignments.length,
@@ -131,7 +131,8 @@
   #isMovable(member: MovableVm): boolean {
     const { name, state } = member.vm;
     if (member.hasPersistent || this.#vmController.findOperation(name) !== undefined) return false;
-    return state === VmState.Up && this.#vmController.canOrder(name);
+    if (state !== VmState.Up || !this.#vmController.canOrder(name)) return false;
+    return findOccupancy(this.#context, member.vm) !== VmOccupancy.Unknown;
   }
 }
 
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -49,6 +49,7 @@
     }
     target.hasUnappliedEnds = (report.ended.at(-1)?.sequence ?? 0) > target.appliedThrough;
     const listedAssignments = new Set<Assignment>();
+    target.hasUnknownRuns = false;
     for (const running of report.running) {
       const assignment = this.#applyRunning(target, running);
       if (assignment !== undefined) listedAssignments.add(assignment);
@@ -102,14 +103,18 @@
 
   /** Assigns a run that an earlier term started, or stops it if its job or occurrence has ended. */
   #adopt(target: TargetRecord, running: ActiveRun): Assignment | undefined {
-    const { clock, fleet, logger } = this.#context;
-    if (this.#isJobUnknown(running.task)) return undefined;
+    const { bounds, clock, fleet, logger } = this.#context;
+    if (this.#isJobUnknown(running.task)) {
+      target.hasUnknownRuns = true;
+      return undefined;
+    }
     const task = this.#findTask(running.task);
     if (task === undefined) {
       this.#orders.stopUnneeded(target, running);
       return undefined;
     }
     const attempt = buildAttempt(target, running.run, AttemptPhase.Running, clock.now);
+    attempt.readyNotBefore = clock.now + bounds.stopMs;
     fleet.assign(target, task, attempt);
     task.step.job.hasStarted = true;
     logger.writeInfo('run adopted', {
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -178,6 +178,7 @@
     startedAt: now,
     expiresAt: now,
     percent: 0,
+    readyNotBefore: 0,
     reading: 0,
     pace: 100,
     expectedInReportsAfter: now,
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -28,6 +28,8 @@
   appliedThrough = 0;
   /** Whether the last report listed ended runs that could not be applied yet. */
   hasUnappliedEnds = false;
+  /** Whether the last report listed active runs whose jobs are not known yet. */
+  hasUnknownRuns = false;
   /**
    * Whether another incarnation may answer. The next lease renewal then acknowledges no ended runs.
    */
@@ -95,6 +97,11 @@
     return this.#assignments.values();
   }
 
+  /** Whether all runs on the target are known: those of earlier terms from a report of this term. */
+  get areRunsKnown(): boolean {
+    return this.reportedAt !== undefined && !this.hasUnknownRuns;
+  }
+
   get hasPersistent(): boolean {
     for (const { task } of this.#assignments.values()) {
       if (task.step.definition.isPersistent) return true;
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -1,11 +1,12 @@
 import { AttemptPhase } from '@currantgap/jobs';
-import { canDisrupt } from '@currantgap/fleet';
 import { VmState, type Vm } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
+import { canStopPersistent } from './disruption-budget.ts';
 import type { RunOrders } from './run-orders.ts';
 import { VmOrderOutcome, type VmPort } from './ports.ts';
 import type { ReportProcessor } from './report-processor.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
+import { findOccupancy, VmOccupancy } from './vm-occupancy.ts';
 import { VmPhase, type VmOperation, type VmOrders, type VmPlan } from './vm-orders.ts';
 
 /** Milliseconds between reads of the VM list while operations are in progress. */
@@ -14,8 +15,6 @@
 const IDLE_LIST_PERIOD_MS = 5_000;
 /** Milliseconds for which a VM is drained before its move is abandoned. */
 const DRAIN_TIMEOUT_MS = 8_000;
-/** Progress, in percent, at which a persistent task counts as ready. */
-const READY_PERCENT = 100;
 
 /** Tracks the VMs, drains those with a plan and then sends the order to move or maintain them. */
 export class VmController {
@@ -163,12 +162,14 @@
 
   /**
    * Lets finite tasks finish, moves persistent tasks within their disruption budgets, and sends the
-   * order once the VM is empty.
+   * order once the VM is known to be empty.
    */
   #drain(operation: VmOperation): void {
     const { clock, fleet } = this.#context;
+    const listed = this.#vms.get(operation.vm);
+    if (listed === undefined) return;
     const targets = fleet.listOnVm(operation.vm);
-    if (countTasks(targets) > 0) {
+    if (findOccupancy(this.#context, listed) !== VmOccupancy.Empty) {
       if (clock.now > operation.startedAt + DRAIN_TIMEOUT_MS && operation.plan.kind === 'move') {
         this.abandonPlan(operation.vm, 'not drained in time');
         return;
@@ -201,16 +202,9 @@
   /** Stops a persistent task if its disruption budget allows it; it restarts on another target. */
   #relocate(assignment: Assignment): void {
     const { task, attempt } = assignment;
-    const { step } = task;
-    if (!step.definition.isPersistent || attempt.phase !== AttemptPhase.Running) return;
-    const isReady = attempt.percent >= READY_PERCENT;
-    const unavailable = step.tasks.filter((other) => !isTaskReady(other.attempts)).length;
-    const unavailableOthers = isReady ? unavailable : unavailable - 1;
-    if (
-      canDisrupt({ budget: step.definition.disruptionBudget, unavailableCount: unavailableOthers })
-    ) {
+    if (!task.step.definition.isPersistent || attempt.phase !== AttemptPhase.Running) return;
+    if (canStopPersistent(this.#context, assignment))
       this.#orders.stop(assignment, 'VM is emptied');
-    }
   }
 
   #applyOutcome(operation: VmOperation, outcome: VmOrderOutcome): void {
@@ -239,12 +233,6 @@
   }
 }
 
-function isTaskReady(attempts: readonly { phase: AttemptPhase; percent: number }[]): boolean {
-  return attempts.some(
-    ({ phase, percent }) => phase === AttemptPhase.Running && percent >= READY_PERCENT,
-  );
-}
-
 /** Describes for logs how old the last report of each target is; empty if no target is known. */
 function describeReports(targets: readonly TargetRecord[], now: number): string {
   return targets
--- a/packages/execution/test/vm-controller.test.ts
+++ b/packages/execution/test/vm-controller.test.ts
@@ -22,6 +22,8 @@
 
   it('gets no work either on a target that registers while the order is on its way', async () => {
     const { harness, port, controller, log } = await createController();
+    // Only then is a VM without a registered target known to be empty.
+    harness.clock.advanceTo(harness.context.reconciliation.deadline);
     controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
     controller.sweep();
     const target = harness.addTarget('t1');
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -28,6 +28,11 @@
   expiresAt: number;
   /** Progress in percent; 100 for a persistent task that is in service. */
   percent: number;
+  /**
+   * Time before which a run of an earlier term does not count as ready: a stop that a predecessor
+   * sent may still end it.
+   */
+  readyNotBefore: number;
   /** Tail latency of a serving task in milliseconds; CPU use of other tasks in millicores. */
   reading: number;
   /** Percentage of full speed that the target last accepted for a filler, 0 to 100. */
