fix(execution): an owner orders no VM before it has read the orders of earlier owners

The VM manager was swept from the first tick of a term, before the log of the predecessor's orders and the progress of the waves were loaded. An unread log looks like a log without entries, so a VM could be ordered by two owners within the time that the protocol reserves for one, and the first write of the log dropped the predecessor's entries. Ruled out: the guard on the owner's own lease; it says nothing about the predecessor's orders. Change: the manager does nothing before it is loaded; waves and orders are loaded together. Before: the new test sees both VMs ordered before the log is read. Conclusion: what an owner must know about its predecessor comes before its first order.

--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -328,8 +328,7 @@
     for (const target of term.predecessor?.targets ?? []) reconciliation.expectReport(target);
     roster.load(getRows(ROSTER_TABLE));
     jobs.loadLedgerRows(getRows(LEDGER_TABLE));
-    this.#vmManager?.loadWaves(getRows(WAVE_TABLE));
-    this.#vmManager?.loadOrders(getRows(VM_ORDER_TABLE));
+    this.#vmManager?.load(getRows);
   }
 
   #applyIntake(rows: readonly Row[], isSnapshot: boolean): void {
--- a/packages/execution/src/vm-manager.ts
+++ b/packages/execution/src/vm-manager.ts
@@ -6,9 +6,9 @@
 import type { VmPort } from './ports.ts';
 import type { ReportProcessor } from './report-processor.ts';
 import { VmController } from './vm-controller.ts';
-import { VmOrderLog } from './vm-order-log.ts';
+import { VM_ORDER_TABLE, VmOrderLog } from './vm-order-log.ts';
 import { VmOrders } from './vm-orders.ts';
-import { WaveController, type EncodeWaveStatus } from './wave-controller.ts';
+import { WAVE_TABLE, WaveController, type EncodeWaveStatus } from './wave-controller.ts';
 
 /** Options of a VM manager. */
 export interface VmManagerOptions {
@@ -29,6 +29,7 @@
   readonly #vmController: VmController;
   readonly #poolSizer: PoolSizer;
   readonly #waveController: WaveController;
+  #isLoaded = false;
 
   constructor(options: VmManagerOptions) {
     const { context, orders, reportProcessor, store, port, hasFreshLease, encodeWaveStatus } =
@@ -54,14 +55,11 @@
     this.#poolSizer = new PoolSizer(context, this.#vmController);
   }
 
-  /** Loads the progress of each wave from earlier terms. */
-  loadWaves(rows: readonly Row[]): void {
-    this.#waveController.load(rows);
-  }
-
-  /** Loads the orders that earlier owners sent lately. */
-  loadOrders(rows: readonly Row[]): void {
-    this.#orderLog.load(rows);
+  /** Loads the progress of each wave and the orders that earlier owners sent lately. */
+  load(getRows: (table: string) => readonly Row[]): void {
+    this.#waveController.load(getRows(WAVE_TABLE));
+    this.#orderLog.load(getRows(VM_ORDER_TABLE));
+    this.#isLoaded = true;
   }
 
   /** Prevents further orders; used when the term ends. */
@@ -69,8 +67,12 @@
     this.#orderLog.stop();
   }
 
-  /** Advances all operations and starts new ones. */
+  /**
+   * Advances all operations and starts new ones; does nothing before `load`, because the protocol
+   * may allow only a predecessor to order some VMs.
+   */
   sweep(): void {
+    if (!this.#isLoaded) return;
     this.#vmController.sweep();
     let loads: ReadonlyMap<string, PoolLoad> | undefined;
     // Loads are computed at most once per sweep, because starting a plan does not change them, and
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -8,6 +8,7 @@
   type Step,
   type StoredJob,
   type TargetEntry,
+  type Wave,
 } from '@currantgap/model';
 import { FENCE_ROW, type LeaseRow, type Term } from '@currantgap/ownership';
 import { DurationModel } from '@currantgap/scheduling';
@@ -168,6 +169,7 @@
   readonly fleet = new Fleet();
   hasValidLease = true;
   evacuated = new Set<string>();
+  waves: readonly Wave[] = [];
   configuration: Configuration;
 
   constructor(options: HarnessOptions = {}) {
@@ -215,7 +217,7 @@
       getOperatorView: () => ({
         configuration: this.configuration,
         evacuated: this.evacuated,
-        waves: [],
+        waves: this.waves,
       }),
       post: (message) => this.messages.push(message),
       depose: (reason) => this.deposeReasons.push(reason),
--- /dev/null
+++ b/packages/execution/test/vm-manager.test.ts
@@ -0,0 +1,80 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { Vm, Wave } from '@currantgap/model';
+import { OWNER_PART } from '@currantgap/ownership';
+import type { Row } from '@currantgap/store';
+import { JobLookup } from '../src/job-lookup.ts';
+import { ReportProcessor } from '../src/report-processor.ts';
+import { RunOrders } from '../src/run-orders.ts';
+import { VmManager } from '../src/vm-manager.ts';
+import { VM_ORDER_TABLE } from '../src/vm-order-log.ts';
+import { flushPromises, TermHarness } from './term-harness.ts';
+import { FakeVmPort, VM } from './vm-harness.ts';
+
+/** Longer than the store and the VM service take to carry an order out. */
+const ORDER_MS = 60;
+
+interface Setup {
+  readonly harness: TermHarness;
+  readonly port: FakeVmPort;
+  readonly manager: VmManager;
+}
+
+/** Two VMs, each with a target that has reported, and a wave for both. */
+async function createManager(concurrency: number): Promise<Setup> {
+  const harness = new TermHarness();
+  await harness.writeFence();
+  const { context, store } = harness;
+  const second: Vm = { ...VM, name: 'vm-t2', targetId: 't2' };
+  const wave: Wave = { number: 1, vms: [VM.name, second.name], concurrency, durationS: 20 };
+  harness.waves = [wave];
+  for (const id of ['t1', 't2']) harness.addTarget(id);
+  const port = new FakeVmPort();
+  port.vms = [VM, second];
+  const orders = new RunOrders(context);
+  const manager = new VmManager({
+    context,
+    orders,
+    reportProcessor: new ReportProcessor(context, orders, new JobLookup(context, store)),
+    store,
+    port,
+    hasFreshLease: () => true,
+    encodeWaveStatus: (number, isComplete) => ({
+      table: 'status',
+      key: String(number),
+      value: String(isComplete),
+    }),
+  });
+  return { harness, port, manager };
+}
+
+/** The row of the order log in which a predecessor has noted that it is about to order a VM. */
+function createOrderRow({ store }: TermHarness, vm: string): Row {
+  const value = JSON.stringify({ [vm]: Math.round(store.now) });
+  const key = { table: VM_ORDER_TABLE, part: OWNER_PART, key: 'recent' };
+  return { ...key, value, version: 0, isDeleted: false };
+}
+
+/** Sweeps often enough to read the VM list, plan and order; returns the VMs in maintenance. */
+async function sweep({ manager, port }: Setup): Promise<readonly string[]> {
+  for (let round = 0; round < 3; round += 1) {
+    manager.sweep();
+    await flushPromises();
+  }
+  await sleep(ORDER_MS);
+  return port.maintained;
+}
+
+// Guards the time between the orders of two owners for one VM: an owner that has not read what its
+// predecessor ordered may not order anything.
+describe('a new owner that has not read the orders of earlier owners', () => {
+  it('orders no VM, and afterwards none that was ordered lately', async () => {
+    const setup = await createManager(2);
+    const { harness, manager } = setup;
+    assert.deepEqual(await sweep(setup), []);
+    manager.load((table) => (table === VM_ORDER_TABLE ? [createOrderRow(harness, VM.name)] : []));
+    assert.deepEqual(await sweep(setup), ['vm-t2']);
+    manager.stop();
+  });
+});
