fix(execution): a wave keeps a slot for a VM that the predecessor has ordered lately

A new owner counted as occupied only those slots whose VMs the list showed in maintenance. A list that was read before the predecessor's last order was carried out shows that VM as up, and the slot was given away. Ruled out: orders of the own term, which occupy a slot until the VM is listed as up again. Change: a VM of the wave that the order log names as ordered lately by an earlier owner occupies a slot. Before: with one slot, the new test sees the second VM ordered while the first may be in maintenance.

--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -57,6 +57,11 @@
     return this.#vmOrders.canSendFor(vm);
   }
 
+  /** Whether an earlier owner may have ordered this VM so lately that the order is in progress. */
+  hasPredecessorOrder(vm: string): boolean {
+    return this.#vmOrders.isBlocked(vm);
+  }
+
   /** All VMs of the last list. */
   get vms(): Iterable<Vm> {
     return this.#vms.values();
--- a/packages/execution/src/vm-orders.ts
+++ b/packages/execution/src/vm-orders.ts
@@ -54,7 +54,12 @@
 
   /** Whether an order for this VM may be sent now. */
   canSendFor(vm: string): boolean {
-    return this.canSend && !this.#log.isBlocked(vm);
+    return this.canSend && !this.isBlocked(vm);
+  }
+
+  /** Whether an earlier owner may have ordered the VM so lately that no other owner may. */
+  isBlocked(vm: string): boolean {
+    return this.#log.isBlocked(vm);
   }
 
   /** Sends the order of an operation; returns `Refused` if it may not be sent now. */
--- a/packages/execution/src/wave-controller.ts
+++ b/packages/execution/src/wave-controller.ts
@@ -115,8 +115,7 @@
     const due: DueVm[] = [];
     for (const name of wave.vms) {
       const vm = vms.get(name);
-      if (vm?.state === VmState.Maintenance && vmController.findOperation(name) === undefined)
-        freeSlots -= 1;
+      if (this.#isMaintainedByPredecessor(name, vm)) freeSlots -= 1;
       if (vm === undefined || done.has(name) || vmController.findOperation(name) !== undefined)
         continue;
       if (vm.state !== VmState.Up || !vmController.canOrder(name)) continue;
@@ -130,6 +129,16 @@
     }
   }
 
+  /**
+   * Whether an order of an earlier owner occupies a slot. If it was sent lately, the VM list may not
+   * show its effect yet.
+   */
+  #isMaintainedByPredecessor(name: string, vm: Vm | undefined): boolean {
+    const { vmController } = this.#options;
+    if (vm === undefined || vmController.findOperation(name) !== undefined) return false;
+    return vm.state === VmState.Maintenance || vmController.hasPredecessorOrder(name);
+  }
+
   #buildDueVm(vm: Vm, isOff: boolean, load: PoolLoad | undefined): DueVm {
     const targets = this.#options.context.fleet.listOnVm(vm.name);
     const assignments = targets.flatMap((target) => [...target.assignments]);
--- a/packages/execution/test/vm-manager.test.ts
+++ b/packages/execution/test/vm-manager.test.ts
@@ -14,6 +14,8 @@
 
 /** Longer than the store and the VM service take to carry an order out. */
 const ORDER_MS = 60;
+/** Time for which no other owner may order a VM: `holderChangeMs` of the harness and a margin. */
+const BLOCKED_MS = 3_250;
 
 interface Setup {
   readonly harness: TermHarness;
@@ -78,3 +80,17 @@
     manager.stop();
   });
 });
+
+// Guards the concurrency limit of a wave around a take-over: the VM list may have been read before the
+// predecessor's last order was carried out.
+describe('a wave with one slot', () => {
+  it('keeps the slot for a VM that an earlier owner has ordered lately', async () => {
+    const setup = await createManager(1);
+    const { harness, manager } = setup;
+    manager.load((table) => (table === VM_ORDER_TABLE ? [createOrderRow(harness, VM.name)] : []));
+    assert.deepEqual(await sweep(setup), []);
+    harness.advance(BLOCKED_MS);
+    assert.equal((await sweep(setup)).length, 1);
+    manager.stop();
+  });
+});
