fix(execution): runs that silent targets may still have count toward the cap of their team

A new owner knew of a team's runs only from targets that had reported. One second after a take-over it starts new work although a silent target of another pool may still run the team's tasks, so the team could have more running than its upper limit. Ruled out: inherited tasks; they wait for the silent target anyway. Change: what inherited tasks may be using on targets whose reports are pending counts toward the cap, at most what fits on these targets, until they report or their leases have expired. Before: the new test sees a third core used under a cap of two. Conclusion: the cap of a team holds over a take-over with silent targets.

--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -19,6 +19,7 @@
 import type { JobRecord } from './job-index.ts';
 import { takeRunNumber, type RunOrders } from './run-orders.ts';
 import type { TargetRecord } from './target-record.ts';
+import { computeUnreportedRuns } from './unreported-runs.ts';
 
 /** Multiple of the latency objective up to which a late completion still counts. */
 const LATE_LIMIT_FACTOR = 3;
@@ -35,6 +36,8 @@
   readonly #context: OwnerContext;
   readonly #orders: RunOrders;
   readonly #advice: AdviceCache;
+  /** Resources that runs on targets without a report may use, by team. */
+  #unreported: ReadonlyMap<string, Resources> = new Map();
 
   constructor(context: OwnerContext, orders: RunOrders, advice: AdviceCache) {
     this.#context = context;
@@ -45,6 +48,7 @@
   /** Starts the waiting tasks that can start now, most urgent steps first. */
   plan(): void {
     if (this.#context.partitionGuard.shouldPause()) return;
+    this.#unreported = computeUnreportedRuns(this.#context);
     for (const [service, steps] of this.#listReadySteps()) {
       steps.sort(compareUrgency);
       const open = this.#listOpenTargets(service);
@@ -131,10 +135,8 @@
       return;
     }
     const request = this.#buildRequest(step);
-    const running = this.#context.fleet.getRunning(step.job.stored.team);
-    const cap = this.#findCap(step);
     for (const task of waiting) {
-      if (cap !== undefined && !isWithinCap(cap, running, step.definition.request)) return;
+      if (!this.#isTeamWithinCap(step, step.definition.request)) return;
       const target = chooseTarget({ ...request, failedOn: task.failedOn }, open);
       if (target === undefined) return;
       const ticket = this.#advice.getTicket(step, target.id);
@@ -147,9 +149,7 @@
     if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
       return;
     const { request, count } = step.definition;
-    const cap = this.#findCap(step);
-    const running = this.#context.fleet.getRunning(step.job.stored.team);
-    if (cap !== undefined && !isWithinCap(cap, running, computeProduct(request, count))) return;
+    if (!this.#isTeamWithinCap(step, computeProduct(request, count))) return;
     const racks = new Map<string, TargetRecord[]>();
     for (const target of open) racks.set(target.rack, [...(racks.get(target.rack) ?? []), target]);
     const groups = step.definition.isSameRack ? [...racks.values(), open] : [open];
@@ -208,11 +208,15 @@
     };
   }
 
-  /** Finds the resource cap of a step's team; undefined if the team is not configured. */
-  #findCap(step: StepRun): Resources | undefined {
+  /** Whether the team of a step may run more tasks that request these resources. */
+  #isTeamWithinCap(step: StepRun, request: Resources): boolean {
+    const { fleet, getOperatorView } = this.#context;
     const { team } = step.job.stored;
-    const { configuration } = this.#context.getOperatorView();
-    return configuration?.teams.find(({ name }) => name === team)?.cap;
+    const cap = getOperatorView().configuration?.teams.find(({ name }) => name === team)?.cap;
+    if (cap === undefined) return true;
+    const unreported = this.#unreported.get(team);
+    const added = unreported === undefined ? request : addScaled(request, unreported, 1);
+    return isWithinCap(cap, fleet.getRunning(team), added);
   }
 }
 
--- /dev/null
+++ b/packages/execution/src/unreported-runs.ts
@@ -0,0 +1,59 @@
+import type { Resources } from '@currantgap/model';
+import { ResourceSum } from '@currantgap/scheduling';
+import { getWallNow, type OwnerContext } from './context.ts';
+import type { JobRecord } from './job-index.ts';
+
+/**
+ * Computes by team the resources that runs of earlier terms may use on targets that have not reported
+ * yet. They count toward the cap of the team until their end is known.
+ */
+export function computeUnreportedRuns(context: OwnerContext): ReadonlyMap<string, Resources> {
+  const { active, clock, reconciliation } = context;
+  const byTeam = new Map<string, ResourceSum>();
+  if (reconciliation.listPending(clock.now).length === 0) return byTeam;
+  const limit = computePendingCapacity(context);
+  const wallNow = getWallNow();
+  for (const record of active.values()) {
+    if (!record.isInherited) continue;
+    const { team } = record.job.stored;
+    const sum = byTeam.get(team) ?? new ResourceSum();
+    byTeam.set(team, sum);
+    addPossibleRuns(context, record, wallNow, sum);
+  }
+  return new Map([...byTeam].map(([team, sum]) => [team, computeMinimum(sum, limit)]));
+}
+
+function addPossibleRuns(
+  { clock, reconciliation }: OwnerContext,
+  { job, route }: JobRecord,
+  wallNow: number,
+  sum: ResourceSum,
+): void {
+  if (route === undefined) return;
+  for (const step of job.listRunnableSteps(wallNow)) {
+    for (const { isDone, isActive, name } of step.tasks) {
+      if (isDone || isActive) continue;
+      if (reconciliation.canStartInherited(name, route.service, clock.now)) continue;
+      sum.add(step.definition.request);
+    }
+  }
+}
+
+/** Computes what fits on the targets whose reports are pending; unlimited if one is not known. */
+function computePendingCapacity({ clock, fleet, reconciliation }: OwnerContext): Resources {
+  const sum = new ResourceSum();
+  for (const { id } of reconciliation.listPending(clock.now)) {
+    const target = fleet.find(id);
+    if (target === undefined) return { cpuMillis: Infinity, memoryMb: Infinity, gpus: Infinity };
+    sum.add(target.capacity);
+  }
+  return sum;
+}
+
+function computeMinimum(amount: Resources, limit: Resources): Resources {
+  return {
+    cpuMillis: Math.min(amount.cpuMillis, limit.cpuMillis),
+    memoryMb: Math.min(amount.memoryMb, limit.memoryMb),
+    gpus: Math.min(amount.gpus, limit.gpus),
+  };
+}
--- a/packages/execution/test/planner.test.ts
+++ b/packages/execution/test/planner.test.ts
@@ -6,7 +6,7 @@
 import { RunOrders } from '../src/run-orders.ts';
 import { Planner } from '../src/planner.ts';
 import { RosterState } from '../src/roster-state.ts';
-import { CORE, TermHarness } from './term-harness.ts';
+import { CORE, ROUTE, TermHarness } from './term-harness.ts';
 
 const ID = '0000000000000001';
 
@@ -131,6 +131,23 @@
     assert.equal(plan(harness).length, 1);
   });
 
+  // Guards the cap of a team around a take-over: runs that a silent target may still have count.
+  it('counts runs of earlier terms on targets that have not reported toward the cap', () => {
+    const harness = new TermHarness({ cap: { cpuMillis: 2 * CORE, memoryMb: 0, gpus: 0 } });
+    harness.addTarget('t1');
+    harness.context.reconciliation.expectReport({ id: 't9', service: 'velves' });
+    harness.context.reconciliation.expectReport({ id: 't8', service: 'kartes', tasks: [] });
+    const inherited = harness.addJob('00000000000000e1', [{ count: 2 }], true);
+    const record = harness.context.active.get(inherited.id);
+    assert.ok(record);
+    harness.context.active.set(inherited.id, { ...record, route: { ...ROUTE, service: 'velves' } });
+    harness.addJob(ID, [{}]);
+    harness.advance(1_000);
+    assert.deepEqual(plan(harness), []);
+    harness.context.reconciliation.recordReport('t9');
+    assert.equal(plan(harness).length, 1);
+  });
+
   it('derives run numbers from the epoch, so that those of a later epoch are higher', () => {
     const harness = new TermHarness();
     harness.addTarget('t1');
