feat(execution): the log tells a target that crashed from one that is only silent

The log had the same line for a crash and for a lease that lapsed because the target was cut off. Change: a target has crashed if another incarnation answers for it or registers on its VM although it neither drained nor was ordered away; "target crashed" names the runs it had and, for each task that may be at fault, how many crashes it has seen. Nothing follows from the counts yet. The building of a term's state moves to a file of its own.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -4,6 +4,7 @@
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import type { PartitionGuard } from './partition-guard.ts';
+import type { CrashDetector } from './crash-detector.ts';
 import type { FencedWriter } from './fenced-writer.ts';
 import type { Fleet } from './fleet.ts';
 import type { JobIndex, JobRecord } from './job-index.ts';
@@ -37,6 +38,7 @@
   readonly bounds: OwnerBounds;
   readonly targetPort: TargetPort;
   readonly fleet: Fleet;
+  readonly crashes: CrashDetector;
   readonly jobs: JobIndex;
   /** Jobs that have not ended, by id. */
   readonly active: Map<string, JobRecord>;
--- /dev/null
+++ b/packages/execution/src/crash-detector.ts
@@ -0,0 +1,115 @@
+import { recordCrash, type CrashedRun, type CrashVerdict } from '@currantgap/jobs';
+import { TargetState } from '@currantgap/model';
+import type { Clock } from '@currantgap/tasks';
+import type { Logger } from '@currantgap/telemetry';
+import type { Fleet } from './fleet.ts';
+import type { Assignment, TargetRecord } from './target-record.ts';
+
+/** Milliseconds after the loss of runs in which a new target on the VM shows that the old one crashed. */
+const RESOLUTION_MS = 6_000;
+
+/** Runs that were lost because all leases on a silent target have expired. */
+interface SilentLoss {
+  readonly target: TargetRecord;
+  /** Start of the lost incarnation, Unix milliseconds. */
+  readonly bornAt: number;
+  readonly runs: readonly CrashedRun[];
+  /** Monotonic time of the loss, in milliseconds. */
+  readonly lostAt: number;
+  /** Monotonic time after which the target counts as gone, in milliseconds. */
+  readonly expiresAt: number;
+}
+
+/** Options of a crash detector. */
+export interface CrashDetectorOptions {
+  readonly clock: Clock;
+  readonly fleet: Fleet;
+  readonly logger: Logger;
+}
+
+/**
+ * Tells crashed targets from silent ones. A target has crashed if another incarnation answers for it
+ * or registers on its VM, although it neither drained nor was ordered away. A target that is only cut
+ * off answers again or stays silent, which says nothing about the tasks that it ran.
+ */
+export class CrashDetector {
+  readonly #options: CrashDetectorOptions;
+  readonly #losses = new Map<string, SilentLoss>();
+  #verdicts: CrashVerdict[] = [];
+
+  constructor(options: CrashDetectorOptions) {
+    this.#options = options;
+  }
+
+  /** Records runs that were lost because all leases on their silent target have expired. */
+  recordSilentLoss(target: TargetRecord, lost: readonly Assignment[]): void {
+    if (target.entry.state === TargetState.Draining || lost.length === 0) return;
+    const { now } = this.#options.clock;
+    const loss = {
+      target,
+      bornAt: target.bornAt ?? target.entry.bornAt,
+      runs: describeRuns(target, lost),
+      lostAt: now,
+      expiresAt: now + RESOLUTION_MS,
+    };
+    this.#losses.set(target.id, loss);
+    this.sweep();
+  }
+
+  /** Records that another incarnation has replaced the one with these runs. */
+  recordCrash(target: TargetRecord, lost: readonly Assignment[]): void {
+    if (target.entry.state === TargetState.Draining || lost.length === 0) return;
+    this.#recordCrash(target, lost[0]?.attempt.bornAt ?? 0, describeRuns(target, lost));
+  }
+
+  /** Takes the verdicts on all crashes that were detected since the last call. */
+  takeVerdicts(): readonly CrashVerdict[] {
+    const verdicts = this.#verdicts;
+    this.#verdicts = [];
+    return verdicts;
+  }
+
+  /** Resolves the losses of targets that have answered again, or have been replaced. */
+  sweep(): void {
+    const { now } = this.#options.clock;
+    for (const loss of [...this.#losses.values()]) {
+      const { target, bornAt, lostAt, expiresAt, runs } = loss;
+      const isAlive = target.reportedAt !== undefined && target.reportedAt > lostAt;
+      const isReplaced = this.#isReplaced(loss);
+      if (!isAlive && !isReplaced && now < expiresAt) continue;
+      this.#losses.delete(target.id);
+      if (isReplaced) this.#recordCrash(target, bornAt, runs);
+    }
+  }
+
+  /** Whether a later incarnation is known under the target's id or on its VM. */
+  #isReplaced({ target, bornAt }: SilentLoss): boolean {
+    const { fleet } = this.#options;
+    const { vm } = target.entry;
+    const sameVm = vm === undefined ? [] : fleet.listOnVm(vm);
+    const known = fleet.find(target.id);
+    const successors = known === undefined ? sameVm : [known, ...sameVm];
+    return successors.some(({ entry }) => entry.bornAt > bornAt);
+  }
+
+  #recordCrash(target: TargetRecord, bornAt: number, runs: readonly CrashedRun[]): void {
+    const verdict = recordCrash(`${target.id}@${bornAt}`, runs);
+    this.#verdicts.push(verdict);
+    this.#options.logger.writeWarning('target crashed', {
+      target: target.id,
+      vm: target.entry.vm ?? '',
+      runs: runs.length,
+      suspects: verdict.suspects
+        .map(({ name, crashedOn }) => `${name}: ${crashedOn.size}`)
+        .join(' '),
+    });
+  }
+}
+
+function describeRuns(target: TargetRecord, lost: readonly Assignment[]): CrashedRun[] {
+  return lost.map(({ task, attempt }) => ({
+    task,
+    isListed: attempt.isListed,
+    ageMs: (target.reportedAt ?? attempt.startedAt) - attempt.startedAt,
+  }));
+}
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,29 +1,23 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
 import type { Term, TermReport } from '@currantgap/ownership';
-import { DurationModel } from '@currantgap/scheduling';
 import type { PageSizer, Row, Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import { AdviceCache } from './advice-cache.ts';
-import { PartitionGuard } from './partition-guard.ts';
 import { JobPurger } from './job-purger.ts';
+import { buildContext } from './build-context.ts';
 import type { OwnerBounds, OwnerContext } from './context.ts';
 import { Drainer } from './drainer.ts';
-import { FencedWriter } from './fenced-writer.ts';
-import { Fleet } from './fleet.ts';
-import { LeasePolicy } from './lease-policy.ts';
 import { LeaseRenewer } from './lease-renewer.ts';
 import { Intake } from './intake.ts';
 import { JobArchiver } from './job-archiver.ts';
-import { JobIndex, type JobRecord } from './job-index.ts';
 import { JobLookup } from './job-lookup.ts';
-import { Ledger, LEDGER_TABLE } from './ledger.ts';
+import { LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import { isUncertain, RunOrders } from './run-orders.ts';
 import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
-import { PoolArrivals } from './pool-arrivals.ts';
 import {
   LeaseRenewalFault,
   StartOutcome,
@@ -32,11 +26,9 @@
   type VmPort,
 } from './ports.ts';
 import { RegistryReader, type Registry } from './registry-reader.ts';
-import { ReportProcessor } from './report-processor.ts';
+import { LossReason, ReportProcessor } from './report-processor.ts';
 import { LoadReporter } from './pool-load.ts';
-import { Reconciliation } from './reconciliation.ts';
-import { ROSTER_TABLE, TargetRoster } from './target-roster.ts';
-import { MINIMUM_CLOCK_RATE } from './target-record.ts';
+import { ROSTER_TABLE } from './target-roster.ts';
 import { VmManager } from './vm-manager.ts';
 import { TermFeeds } from './term-feeds.ts';
 import { VM_ORDER_TABLE } from './vm-order-log.ts';
@@ -119,6 +111,7 @@
       new Drainer(this.#context, this.#orders),
       new Pacer(this.#context),
       lookup,
+      this.#context.crashes,
       this.#archiver,
       new JobPurger(this.#context, options.store, options.pageSizer),
       new LoadReporter(this.#context),
@@ -259,54 +252,20 @@
   }
 
   #buildContext(): OwnerContext {
-    const { term, clock, logger, bounds, targetPort, store, getOperatorView } = this.#options;
-    const depose = (reason: string): void => {
-      if (!this.#isClosed) this.#options.onDeposed(reason);
-    };
-    const post = (message: OwnerMessage): void => {
-      if (!this.post(message) && !this.#isClosed) {
-        logger.writeError('owner mailbox full', { kind: message.kind });
-      }
-    };
-    const writer = new FencedWriter({
-      store,
-      term,
-      logger,
-      onWritten: (changeNumber) => {
-        post({ kind: 'written', changeNumber });
+    const { logger, onDeposed } = this.#options;
+    return buildContext(this.#options, {
+      depose: (reason) => {
+        if (!this.#isClosed) onDeposed(reason);
       },
-      onFenced: () => {
-        depose('the fence has changed');
+      post: (message) => {
+        if (!this.post(message) && !this.#isClosed) {
+          logger.writeError('owner mailbox full', { kind: message.kind });
+        }
+      },
+      onJobEnded: (job) => {
+        this.#archiver.add(job);
       },
     });
-    const ledger = new Ledger(writer, (job) => {
-      this.#archiver.add(job);
-    });
-    // Rows of the first owner have no predecessor that could have granted a lease.
-    const predecessorLeaseMs = term.predecessor?.targetLeaseMs ?? 0;
-    const fleet = new Fleet();
-    const reconciliation = new Reconciliation(predecessorLeaseMs / MINIMUM_CLOCK_RATE, clock.now);
-    return {
-      term,
-      clock,
-      logger,
-      bounds,
-      targetPort,
-      fleet,
-      partitionGuard: new PartitionGuard(fleet, clock, this.#options.hasValidLease),
-      jobs: new JobIndex(logger),
-      active: new Map<string, JobRecord>(),
-      arrivals: new PoolArrivals(),
-      ledger,
-      leasePolicy: new LeasePolicy(bounds.leaseMaximumMs),
-      durations: new DurationModel(),
-      reconciliation,
-      roster: new TargetRoster({ writer, logger, clock, fleet, reconciliation }),
-      writer,
-      getOperatorView,
-      post,
-      depose,
-    };
   }
 
   #buildVmManager(): VmManager | undefined {
@@ -366,7 +325,7 @@
     this.#leaseRenewer.recordSilence(target);
     if (report.error === LeaseRenewalFault.OtherIncarnation) {
       this.#context.reconciliation.recordReport(target.id);
-      this.#reportProcessor.recordAllLost(target, 'another incarnation answers');
+      this.#reportProcessor.recordAllLost(target, LossReason.OtherIncarnation);
     }
   }
 
@@ -375,7 +334,7 @@
     const { now } = clock;
     for (const target of [...fleet.targets]) {
       if (target.assignmentCount > 0 && now > target.leasesExpireAt + LEASE_EXPIRY_MARGIN_MS) {
-        this.#reportProcessor.recordAllLost(target, 'lease lapsed');
+        this.#reportProcessor.recordAllLost(target, LossReason.LeasesExpired);
       }
       for (const { task, attempt } of target.assignments) {
         if (attempt.phase === AttemptPhase.Stopping)
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -10,6 +10,13 @@
 /** Percent of full speed at which a filler runs by default. */
 const FULL_PACE = 100;
 
+/** Reason why all runs on a target are lost. */
+export enum LossReason {
+  LeasesExpired = 'lease lapsed',
+  OtherIncarnation = 'another incarnation answers',
+  VmOrdered = 'VM moved or maintained',
+}
+
 /** Applies target reports: active runs, ended runs and assigned runs that are in neither list. */
 export class ReportProcessor {
   readonly #context: OwnerContext;
@@ -61,8 +68,12 @@
   }
 
   /** Records all runs of a target as lost: their leases have expired or its incarnation has ended. */
-  recordAllLost(target: TargetRecord, reason: string): void {
-    for (const assignment of [...target.assignments]) this.#recordLost(target, assignment, reason);
+  recordAllLost(target: TargetRecord, reason: LossReason): void {
+    const { crashes } = this.#context;
+    const lost = [...target.assignments];
+    for (const assignment of lost) this.#recordLost(target, assignment, reason);
+    if (reason === LossReason.LeasesExpired) crashes.recordSilentLoss(target, lost);
+    if (reason === LossReason.OtherIncarnation) crashes.recordCrash(target, lost);
   }
 
   /** Resets the state that belongs to the previous incarnation if another one reports. */
@@ -76,6 +87,10 @@
         bornAt: report.bornAt,
         knownBornAt: target.bornAt,
       });
+      const lost = [...target.assignments].filter(
+        ({ attempt }) => attempt.bornAt !== report.bornAt,
+      );
+      this.#context.crashes.recordCrash(target, lost);
       target.appliedThrough = 0;
       target.acknowledgedThrough = 0;
       target.pace = FULL_PACE;
@@ -87,6 +102,7 @@
     const assignment = target.find(running.task, running.run) ?? this.#adopt(target, running);
     if (assignment === undefined) return undefined;
     const { attempt, task } = assignment;
+    attempt.isListed = true;
     attempt.percent = running.percent;
     attempt.reading = running.reading;
     if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -179,6 +179,7 @@
     expiresAt: now,
     percent: 0,
     readyNotBefore: 0,
+    isListed: false,
     reading: 0,
     pace: 100,
     expectedInReportsAfter: now,
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -102,6 +102,12 @@
     return this.reportedAt !== undefined && !this.hasUnknownRuns;
   }
 
+  /** Whether the target has listed all assigned runs, and so was alive after their starts. */
+  get areRunsListed(): boolean {
+    for (const { attempt } of this.#assignments.values()) if (!attempt.isListed) return false;
+    return true;
+  }
+
   get hasPersistent(): boolean {
     for (const { task } of this.#assignments.values()) {
       if (task.step.definition.isPersistent) return true;
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -4,7 +4,7 @@
 import { canStopPersistent } from './disruption-budget.ts';
 import type { RunOrders } from './run-orders.ts';
 import { VmOrderOutcome, type VmPort } from './ports.ts';
-import type { ReportProcessor } from './report-processor.ts';
+import { LossReason, type ReportProcessor } from './report-processor.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
 import { findOccupancy, VmOccupancy } from './vm-occupancy.ts';
 import { VmPhase, type VmOperation, type VmOrders, type VmPlan } from './vm-orders.ts';
@@ -199,7 +199,7 @@
     const { fleet } = this.#context;
     for (const target of fleet.listOnVm(vm)) {
       fleet.terminate(target);
-      this.#reportProcessor.recordAllLost(target, 'VM moved or maintained');
+      this.#reportProcessor.recordAllLost(target, LossReason.VmOrdered);
     }
     fleet.uncordon(vm);
   }
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -18,6 +18,7 @@
 import { err, type Result } from 'neverthrow';
 import type { OwnerContext } from '../src/context.ts';
 import { PartitionGuard } from '../src/partition-guard.ts';
+import { CrashDetector } from '../src/crash-detector.ts';
 import { FencedWriter } from '../src/fenced-writer.ts';
 import { Fleet } from '../src/fleet.ts';
 import { getIntakePart, INTAKE_TABLE } from '../src/intake-tables.ts';
@@ -204,6 +205,7 @@
       },
       targetPort: this.targetPort,
       fleet: this.fleet,
+      crashes: new CrashDetector({ clock, fleet, logger }),
       partitionGuard: new PartitionGuard(this.fleet, this.clock, () => this.hasValidLease),
       jobs: new JobIndex(logger),
       active: new Map<string, JobRecord>(),
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,3 +1,4 @@
+export * from './crash.ts';
 export * from './critical-path.ts';
 export * from './job.ts';
 export * from './ledger-row.ts';
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -33,6 +33,8 @@
    * sent may still end it.
    */
   readyNotBefore: number;
+  /** Whether a report of the target has listed the run. */
+  isListed: boolean;
   /** Tail latency of a serving task in milliseconds; CPU use of other tasks in millicores. */
   reading: number;
   /** Percentage of full speed that the target last accepted for a filler, 0 to 100. */
@@ -61,6 +63,11 @@
    * that its predecessor has already counted.
    */
   readonly failedRuns = new Set<number>();
+  /**
+   * Incarnations of targets that crashed while a run of this task was suspected of it. A set, since
+   * several owners may learn of the same crash.
+   */
+  readonly crashedOn = new Set<string>();
   checkpoint = '';
   /** Time before which the task is not started again. */
   notBefore = 0;
@@ -75,6 +82,11 @@
     this.name = `${step.name}.${index}`;
   }
 
+  /** Whether a target has crashed under the task, so that its next run may crash another one. */
+  get isSuspect(): boolean {
+    return this.crashedOn.size > 0;
+  }
+
   /** Number of failed runs; each uses up one of the task's attempts. */
   get failures(): number {
     return this.failedRuns.size;
