--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -25,6 +25,7 @@
   type TargetPort,
   type VmPort,
 } from './ports.ts';
+import { Quarantine } from './quarantine.ts';
 import { RegistryReader, type Registry } from './registry-reader.ts';
 import { LossReason, ReportProcessor } from './report-processor.ts';
 import { LoadReporter } from './pool-load.ts';
@@ -105,13 +106,17 @@
     this.#leaseRenewer = new LeaseRenewer(this.#context);
     this.#registry = new RegistryReader(this.#context, options.registry);
     this.#advice = new AdviceCache(this.#context, options.advicePort);
-    this.#planner = new Planner(this.#context, this.#orders, this.#advice);
+    const quarantine = new Quarantine(this.#context.clock, (target) => {
+      this.#leaseRenewer.requestReport(target);
+    });
+    this.#planner = new Planner(this.#context, this.#orders, this.#advice, quarantine);
     this.#sweepers = [
       this.#advice,
       new Drainer(this.#context, this.#orders),
       new Pacer(this.#context),
       lookup,
       this.#context.crashes,
+      quarantine,
       this.#archiver,
       new JobPurger(this.#context, options.store, options.pageSizer),
       new LoadReporter(this.#context),
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -17,6 +17,7 @@
 import type { AdviceCache } from './advice-cache.ts';
 import { getWallNow, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
+import type { Quarantine } from './quarantine.ts';
 import { takeRunNumber, type RunOrders } from './run-orders.ts';
 import type { TargetRecord } from './target-record.ts';
 import { computeUnreportedRuns } from './unreported-runs.ts';
@@ -36,13 +37,20 @@
   readonly #context: OwnerContext;
   readonly #orders: RunOrders;
   readonly #advice: AdviceCache;
+  readonly #quarantine: Quarantine;
   /** Resources that runs on targets without a report may use, by team. */
   #unreported: ReadonlyMap<string, Resources> = new Map();
 
-  constructor(context: OwnerContext, orders: RunOrders, advice: AdviceCache) {
+  constructor(
+    context: OwnerContext,
+    orders: RunOrders,
+    advice: AdviceCache,
+    quarantine: Quarantine,
+  ) {
     this.#context = context;
     this.#orders = orders;
     this.#advice = advice;
+    this.#quarantine = quarantine;
   }
 
   /** Starts the waiting tasks that can start now, most urgent steps first. */
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -76,6 +76,11 @@
     if (reason === LossReason.OtherIncarnation) crashes.recordCrash(target, lost);
   }
 
+  /** Applies what crashes of targets say about tasks. */
+  applyCrashes(): void {
+    this.#context.crashes.takeVerdicts();
+  }
+
   /** Resets the state that belongs to the previous incarnation if another one reports. */
   #checkIncarnation(target: TargetRecord, report: TargetReport): void {
     const { logger } = this.#context;
--- a/packages/execution/test/planner.test.ts
+++ b/packages/execution/test/planner.test.ts
@@ -3,6 +3,7 @@
 import { TargetState } from '@currantgap/model';
 import { waitUntil } from '@currantgap/standins';
 import { AdviceCache } from '../src/advice-cache.ts';
+import { Quarantine } from '../src/quarantine.ts';
 import { RunOrders } from '../src/run-orders.ts';
 import { Planner } from '../src/planner.ts';
 import { RosterState } from '../src/roster-state.ts';
@@ -12,7 +13,9 @@
 
 function plan(harness: TermHarness): string[] {
   const { context } = harness;
-  new Planner(context, new RunOrders(context), new AdviceCache(context, undefined)).plan();
+  const advice = new AdviceCache(context, undefined);
+  const quarantine = new Quarantine(context.clock, () => undefined);
+  new Planner(context, new RunOrders(context), advice, quarantine).plan();
   return harness.targetPort.starts.map(({ task, target }) => `${task} on ${target}`);
 }
 
