fix(execution,jobs): a task that crashes its targets is given up after few crashes

Cause: a run that is lost with its target left no trace on its task. Only ends "failed" used up attempts, and a crashed target lists no end, so each retry looked like the first. Class of fault: a retry without a limit, of work that may itself be the cause of the failure. Ruled out: a count that is lost with the owner (it stayed the same); another task at fault (the others of the same targets ended done on the next ones).

Change: each crash is recorded on the tasks that may have caused it, and stored in the ledger. A suspect task starts on a target where nothing else is unproven, empty ones first, and the target gets no other work until it has shown that it lives. The only unproven task of a second crash is given up, any task after three; its submission is shown as failed. A persistent task is held back instead, since its job serves on. A suspect whose target fell silent waits until it is known whether that one crashed. A silent target counts for nothing, and so does a run that has been at work for five seconds.

In the tests a persistent deadly task starts less than six times in 60 s instead of 15, and the other jobs are done.

--- a/packages/execution/src/crash-detector.ts
+++ b/packages/execution/src/crash-detector.ts
@@ -52,6 +52,11 @@
       lostAt: now,
       expiresAt: now + RESOLUTION_MS,
     };
+    for (const { task } of loss.runs) {
+      // A second loss may be a second crash, so the task waits until that is known.
+      const shouldWait = task.isSuspect && !task.step.definition.isPersistent;
+      if (shouldWait) task.notBefore = loss.expiresAt;
+    }
     this.#losses.set(target.id, loss);
     this.sweep();
   }
@@ -78,6 +83,7 @@
       const isReplaced = this.#isReplaced(loss);
       if (!isAlive && !isReplaced && now < expiresAt) continue;
       this.#losses.delete(target.id);
+      for (const { task } of runs) if (task.notBefore === expiresAt) task.notBefore = 0;
       if (isReplaced) this.#recordCrash(target, bornAt, runs);
     }
   }
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -351,6 +351,7 @@
     if (this.#isHandingOver) return;
     this.#vmManager?.sweep();
     for (const sweeper of this.#sweepers) sweeper.sweep();
+    this.#reportProcessor.applyCrashes();
   }
 
   #schedulePlan(): void {
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -145,13 +145,30 @@
     const request = this.#buildRequest(step);
     for (const task of waiting) {
       if (!this.#isTeamWithinCap(step, step.definition.request)) return;
-      const target = chooseTarget({ ...request, failedOn: task.failedOn }, open);
+      const target = this.#chooseTarget({ ...request, failedOn: task.failedOn }, task, open);
+      if (target === undefined && task.isSuspect) continue;
       if (target === undefined) return;
       const ticket = this.#advice.getTicket(step, target.id);
       this.#orders.start(task, target, takeRunNumber(this.#context, task), ticket);
+      if (task.isSuspect) this.#quarantine.begin(target);
     }
   }
 
+  /** Chooses a target; one for a task that may have crashed another target runs nothing unproven. */
+  #chooseTarget(
+    request: PlacementRequest,
+    task: TaskRun,
+    open: readonly TargetRecord[],
+  ): TargetRecord | undefined {
+    if (!task.isSuspect) return chooseTarget(request, this.#quarantine.listOrdinary(open));
+    for (const group of this.#quarantine.listForSuspect(open)) {
+      const target = chooseTarget(request, group);
+      if (target !== undefined) return target;
+    }
+    this.#quarantine.holdTarget(open);
+    return undefined;
+  }
+
   /** Starts all tasks of a gang, or none if one of them has no target. */
   #placeGang(step: StepRun, open: readonly TargetRecord[]): void {
     if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -1,4 +1,10 @@
-import { AttemptPhase, EndEffect, isFailure, type TaskRun } from '@currantgap/jobs';
+import {
+  AttemptPhase,
+  computeRestartDelayMs,
+  EndEffect,
+  isFailure,
+  type TaskRun,
+} from '@currantgap/jobs';
 import { EndKind } from '@currantgap/model';
 import { getMaximumAttempts, getWallNow, type OwnerContext } from './context.ts';
 import { parseTaskName } from './job-index.ts';
@@ -76,9 +82,30 @@
     if (reason === LossReason.OtherIncarnation) crashes.recordCrash(target, lost);
   }
 
-  /** Applies what crashes of targets say about tasks. */
+  /** Gives up the tasks that have crashed too many targets, and stores the crashes of all suspects. */
   applyCrashes(): void {
-    this.#context.crashes.takeVerdicts();
+    for (const { suspects, culprits } of this.#context.crashes.takeVerdicts()) {
+      for (const task of culprits) this.#giveUp(task);
+      for (const { step } of suspects) {
+        if (!step.job.isEnded) this.enqueueLedgerWrite(step.job.id);
+      }
+    }
+  }
+
+  /** Fails the job of a task that crashes targets; a persistent task is only held back. */
+  #giveUp(task: TaskRun): void {
+    const { clock, logger } = this.#context;
+    const { job, definition } = task.step;
+    const crashes = task.crashedOn.size;
+    if (definition.isPersistent) {
+      task.notBefore = clock.now + computeRestartDelayMs(crashes);
+      logger.writeWarning('task held back', { request: job.id, task: task.name, crashes });
+      return;
+    }
+    if (!job.fail()) return;
+    logger.writeWarning('task given up', { request: job.id, task: task.name, crashes });
+    this.#stopUnneeded(task, EndEffect.JobFailed);
+    this.enqueueLedgerWrite(job.id);
   }
 
   /** Resets the state that belongs to the previous incarnation if another one reports. */
--- a/packages/execution/test/deadly-tasks.test.ts
+++ b/packages/execution/test/deadly-tasks.test.ts
@@ -9,13 +9,7 @@
 import { LossReason, ReportProcessor } from '../src/report-processor.ts';
 import { RunOrders } from '../src/run-orders.ts';
 import type { TargetRecord } from '../src/target-record.ts';
-import {
-  createReport,
-  createRunning,
-  createTarget,
-  LEASE_MS,
-  TermHarness,
-} from './term-harness.ts';
+import { createReport, createRunning, LEASE_MS, TermHarness } from './term-harness.ts';
 
 const DEADLY = '00000000000000d1';
 /** Milliseconds between two rounds of reports, sweeps and planning. */
--- a/packages/jobs/src/crash.ts
+++ b/packages/jobs/src/crash.ts
@@ -7,6 +7,9 @@
 /** Milliseconds after its start from which a run is not suspected of crashing its target. */
 const SUSPICION_MS = 5_000;
 
+/** Milliseconds until a persistent task is started again after the crash that would fail its job. */
+const PERSISTENT_DELAY_MS = 15_000;
+
 /** A run that was active on a target when it crashed. */
 export interface CrashedRun {
   readonly task: TaskRun;
@@ -37,3 +40,11 @@
   for (const task of suspects) task.crashedOn.add(incarnation);
   return { suspects, culprits: suspects.filter((task) => task.crashedOn.size >= limit) };
 }
+
+/**
+ * Computes how long a persistent task that has crashed this many targets is held back. Its job does
+ * not fail, because the other tasks of the job are in service; each further crash doubles the delay.
+ */
+export function computeRestartDelayMs(crashes: number): number {
+  return PERSISTENT_DELAY_MS * 2 ** Math.max(0, crashes - MAXIMUM_CRASHES);
+}
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -125,6 +125,13 @@
     return EndEffect.JobFailed;
   }
 
+  /** Fails the job; returns false, and changes nothing, if it has already ended. */
+  fail(): boolean {
+    if (this.isEnded) return false;
+    this.state = JobState.Failed;
+    return true;
+  }
+
   /** Cancels the job; returns false, and changes nothing, if it has already ended. */
   cancel(): boolean {
     if (this.isEnded) return false;
--- a/packages/jobs/src/ledger-row.ts
+++ b/packages/jobs/src/ledger-row.ts
@@ -7,6 +7,8 @@
   readonly done: readonly string[];
   /** Numbers of the failed runs of each task. */
   readonly failedRuns?: Readonly<Record<string, readonly number[]>>;
+  /** Incarnations of targets that crashed under each task. */
+  readonly crashedOn?: Readonly<Record<string, readonly string[]>>;
   readonly checkpoints?: Readonly<Record<string, string>>;
 }
 
@@ -18,7 +20,9 @@
   readonly open?: Readonly<Record<string, OccurrenceRow>>;
 }
 
-/** Encodes what must survive a take-over: done tasks, failed runs, checkpoints and the state. */
+/**
+ * Encodes what must survive a take-over: done tasks, failed runs, crashes, checkpoints and the state.
+ */
 export function encodeLedgerRow(job: Job): string {
   const row: LedgerRow = {
     state: job.state,
@@ -50,17 +54,20 @@
   const open: Record<string, OccurrenceRow> = {};
   for (const occurrence of job.occurrences.values()) {
     const failedRuns: Record<string, readonly number[]> = {};
+    const crashedOn: Record<string, readonly string[]> = {};
     const checkpoints: Record<string, string> = {};
     for (const step of occurrence.steps) {
       for (const task of step.tasks) {
         const taskKey = `${step.index}.${task.index}`;
         if (task.failures > 0 && !task.isDone) failedRuns[taskKey] = [...task.failedRuns];
+        if (task.isSuspect && !task.isDone) crashedOn[taskKey] = [...task.crashedOn];
         if (task.checkpoint !== '' && !task.isDone) checkpoints[taskKey] = task.checkpoint;
       }
     }
     open[String(occurrence.number)] = {
       done: occurrence.steps.map((step) => encodeBits(step.tasks.map((task) => task.isDone))),
       ...(Object.keys(failedRuns).length > 0 ? { failedRuns } : {}),
+      ...(Object.keys(crashedOn).length > 0 ? { crashedOn } : {}),
       ...(Object.keys(checkpoints).length > 0 ? { checkpoints } : {}),
     };
   }
@@ -74,6 +81,7 @@
     for (const task of step.tasks) {
       const taskKey = `${step.index}.${task.index}`;
       for (const run of row.failedRuns?.[taskKey] ?? []) task.failedRuns.add(run);
+      for (const target of row.crashedOn?.[taskKey] ?? []) task.crashedOn.add(target);
       task.checkpoint = row.checkpoints?.[taskKey] ?? '';
       if (((bits >> BigInt(task.index)) & 1n) === 0n || task.isDone) continue;
       task.isDone = true;
