fix(forwarding): a connection that is reset while it is refused no longer ends the node

What callers saw: a node exits, and its callers' connections with it. Cause: Node's http server removes its own error listener from a socket before the upgrade event. A forwarder that asks a node which is not the owner any more is refused; a reset that arrives then had no listener. Ruled out: memory; the exit's message is "Unhandled 'error' event … read ECONNRESET". Change: the socket of each upgrade request has an error listener, which logs, before anything is answered.

--- a/packages/forwarding/src/handshake.ts
+++ b/packages/forwarding/src/handshake.ts
@@ -1,5 +1,7 @@
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import type { Duplex } from 'node:stream';
+import { describeError } from '@currantgap/model';
+import type { Logger } from '@currantgap/telemetry';
 
 /** Value of the `upgrade` header; both ends must speak the same version. */
 const FORWARDING_PROTOCOL = 'currantgap-forwarding-1';
@@ -53,16 +55,28 @@
   accept(info: ForwarderInfo, socket: Duplex, head: Buffer): void;
 }
 
+/** A request to forward calls, as Node's `upgrade` event passes it on. */
+export interface ForwarderRequest {
+  readonly request: IncomingMessage;
+  readonly socket: Duplex;
+  /** Bytes that were received after the request. */
+  readonly head: Buffer;
+  /** Undefined if no owner runs in this process. */
+  readonly acceptor: ForwarderAcceptor | undefined;
+}
+
 /**
  * Answers the request of a forwarder: passes the connection on if this node is the owner that the
  * forwarder wants to serve, and refuses it otherwise.
  */
 export function acceptForwarder(
-  request: IncomingMessage,
-  socket: Duplex,
-  head: Buffer,
-  acceptor: ForwarderAcceptor | undefined,
+  { request, socket, head, acceptor }: ForwarderRequest,
+  logger: Logger,
 ): void {
+  // Without a listener, a connection that is reset while it is refused would end the process.
+  socket.on('error', (error: unknown) => {
+    logger.writeInfo('forwarder connection failed', { reason: describeError(error) });
+  });
   const info = decodeHandshake(request.headers);
   if (info === undefined || acceptor?.epoch !== info.epoch) {
     socket.end(
--- a/packages/forwarding/test/harness.ts
+++ b/packages/forwarding/test/harness.ts
@@ -99,7 +99,7 @@
 
   async open(): Promise<void> {
     this.#server.on('upgrade', (request, socket, head) => {
-      acceptForwarder(request, socket, head, this.pool);
+      acceptForwarder({ request, socket, head, acceptor: this.pool }, new Logger());
     });
     this.#address = `127.0.0.1:${await listenOn(this.#server, '127.0.0.1', 0)}`;
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -121,7 +121,8 @@
       handlePeerCall(request, response, this.#owner);
     });
     peerServer.on('upgrade', (request, socket, head) => {
-      acceptForwarder(request, socket, head, this.#forwarderPool);
+      const acceptor = this.#forwarderPool;
+      acceptForwarder({ request, socket, head, acceptor }, this.#logger);
     });
     await this.#listen(metricsEndpoint, (_, response) => {
       void this.#metrics.registry.metrics().then((text) => {
