fix(forwarding): a channel delivers nothing before its creator knows it

What callers saw: a node exits, and its callers' connections with it. Cause: bytes that had arrived with the handshake were handled in the constructor of the channel. A malformed line there closed the channel, whose handler read a variable that was not set yet. Ruled out: the decoder of lines, which gives a fault for any text. Change: such bytes are put back into the socket and delivered with the data that follows. Conclusion: one malformed message can no longer take a process down here.

--- a/packages/forwarding/src/line-channel.ts
+++ b/packages/forwarding/src/line-channel.ts
@@ -35,6 +35,8 @@
   constructor(options: LineChannelOptions) {
     this.#options = options;
     const { socket, head } = options;
+    // Delivered with the data that follows, when the creator of the channel knows it.
+    if (head.length > 0) socket.unshift(head);
     socket.on('data', (data: Buffer) => {
       this.#receive(data);
     });
@@ -44,7 +46,6 @@
     socket.on('close', () => {
       this.close('the connection was closed');
     });
-    if (head.length > 0) this.#receive(head);
   }
 
   get isClosed(): boolean {
--- a/packages/forwarding/test/connection-faults.test.ts
+++ b/packages/forwarding/test/connection-faults.test.ts
@@ -1,9 +1,11 @@
 import assert from 'node:assert/strict';
-import type { IncomingMessage } from 'node:http';
+import { IncomingMessage } from 'node:http';
+import { Socket } from 'node:net';
 import { Duplex } from 'node:stream';
 import { describe, it } from 'node:test';
 import { Logger } from '@currantgap/telemetry';
 import { acceptForwarder } from '../src/handshake.ts';
+import { LineChannel } from '../src/line-channel.ts';
 
 /** A socket that sends nothing and receives what a test pushes. */
 class FakeSocket extends Duplex {
@@ -21,7 +23,7 @@
 describe('a forwarder that is refused', () => {
   it('may reset its connection without harm', async () => {
     const socket = new FakeSocket();
-    const request = { headers: {} } as IncomingMessage;
+    const request = new IncomingMessage(new Socket());
     acceptForwarder({ request, socket, head: Buffer.alloc(0), acceptor: undefined }, new Logger());
     // Without a listener for errors, which `events.once` would add.
     const closed = new Promise((resolve) => socket.on('close', resolve));
@@ -30,3 +32,32 @@
     assert.ok(socket.destroyed);
   });
 });
+
+// Guards the process against a peer whose first bytes are malformed: seen as an exit of a node, "Cannot
+// access 'channel' before initialization".
+describe('a channel that received bytes before it was created', () => {
+  function open(head: string): { channel: LineChannel; events: string[] } {
+    const events: string[] = [];
+    const channel: LineChannel = new LineChannel({
+      socket: new FakeSocket(),
+      head: Buffer.from(head),
+      onValue: (value) => events.push(`value ${JSON.stringify(value)} ${channel.isClosed}`),
+      onClosed: (reason) => events.push(`closed ${channel.isClosed}: ${reason}`),
+    });
+    return { channel, events };
+  }
+
+  it('delivers them once its creator knows the channel', async () => {
+    const { events } = open('{"a":1}\n');
+    assert.deepEqual(events, []);
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.deepEqual(events, ['value {"a":1} false']);
+  });
+
+  it('closes after a malformed line', async () => {
+    const { channel, events } = open('no JSON\n');
+    await new Promise((resolve) => setImmediate(resolve));
+    assert.ok(channel.isClosed);
+    assert.match(events.join(), /^closed true: a line was malformed/);
+  });
+});
