fix(execution): a target gets no new work while it lists runs that are not known

A run whose job has not been looked up yet is not assigned to its target, so its capacity counted as free. Ruled out: runs that are being stopped; they stay assigned until their end is listed. A capacity that shrinks is read from each registry entry and needs nothing. Change: a target is open for work only when all its runs are known. Before: the new test finds the target open. After: closed, and open once the job is known. Conclusion: what is not known to be free is not given away.

--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -128,7 +128,7 @@
   isOpen(now: number): boolean {
     return (
       this.isRegistered &&
-      this.reportedAt !== undefined &&
+      this.areRunsKnown &&
       this.entry.state === TargetState.Ready &&
       !this.isCordoned &&
       this.unansweredCalls === 0 &&
--- a/packages/execution/test/unreported-targets.test.ts
+++ b/packages/execution/test/unreported-targets.test.ts
@@ -96,6 +96,25 @@
   });
 });
 
+// Guards the capacity of targets that accept whatever they are told to start: a run that is not known
+// yet occupies capacity all the same.
+describe('a target that lists a run whose job is not known yet', () => {
+  it('gets no new work until all its runs are known', async () => {
+    const { harness, orders, log } = await createController();
+    const target = harness.addTarget('t1');
+    const lookup = new JobLookup(harness.context, harness.store);
+    const processor = new ReportProcessor(harness.context, orders, lookup);
+    const running = [createRunning(`${JOB_ID}.0.0.0`, 1)];
+    processor.apply(target, createReport({ running }), harness.now);
+    assert.equal(target.isOpen(harness.now), false);
+    harness.addJob(JOB_ID, [{}], true);
+    processor.apply(target, createReport({ running }), harness.now);
+    assert.ok(target.isOpen(harness.now));
+    assert.equal(target.assignmentCount, 1);
+    log.stop();
+  });
+});
+
 // Incident of 2026-12-04, farolito-prod: a target that was cut off from the store lost its registry
 // entry and still ran tasks; its VM counted as empty 0.3 s later.
 describe('a VM whose target has lost its registry entry', () => {
