fix(execution): a VM that is busy with an unanswered order gets no work

After an order without an answer the retry was told that the VM is busy; the plan was abandoned, the VM was opened for work while it was about to leave, and its slot in the wave was given away. Ruled out: a VM that is busy for another reason; without an unanswered order the plan is still abandoned. Change: the VM stays closed until a list that was read later shows it as up. Before: the new test finds the VM open and without an operation. After: closed until it is listed as up. Conclusion: an order that may have been executed counts as executed until the VM list shows otherwise.

--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -81,7 +81,14 @@
   startPlan(vm: string, plan: VmPlan): void {
     if (this.#operations.has(vm)) return;
     const { now } = this.#context.clock;
-    this.#operations.set(vm, { vm, plan, startedAt: now, phase: VmPhase.Draining, orderedAt: 0 });
+    this.#operations.set(vm, {
+      vm,
+      plan,
+      startedAt: now,
+      phase: VmPhase.Draining,
+      orderedAt: 0,
+      isUncertain: false,
+    });
     const { fleet, logger } = this.#context;
     const targets = fleet.listOnVm(vm);
     fleet.cordon(vm);
@@ -157,6 +164,7 @@
 
   #finishOperation(operation: VmOperation): void {
     this.#operations.delete(operation.vm);
+    this.#context.fleet.uncordon(operation.vm);
     const tookMs = Math.round(this.#context.clock.now - operation.startedAt);
     this.#context.logger.writeInfo('VM plan done', {
       vm: operation.vm,
@@ -212,25 +220,34 @@
       this.#orders.stop(assignment, 'VM is emptied');
   }
 
+  #recordUnavailable(operation: VmOperation): void {
+    operation.phase = VmPhase.Unavailable;
+    operation.orderedAt = this.#context.clock.now;
+  }
+
   #applyOutcome(operation: VmOperation, outcome: VmOrderOutcome): void {
     if (this.#operations.get(operation.vm) !== operation) return;
     const { plan, vm } = operation;
     switch (outcome) {
       case VmOrderOutcome.Accepted:
-        operation.phase = VmPhase.Unavailable;
-        operation.orderedAt = this.#context.clock.now;
+        this.#recordUnavailable(operation);
         this.#removeTarget(vm);
         if (plan.kind === 'maintain') this.#onMaintained(vm, plan.wave);
         return;
       case VmOrderOutcome.Unknown:
       case VmOrderOutcome.Refused:
         // The order is safe to retry: the VM service accepts an order that it has already executed.
+        operation.isUncertain ||= outcome === VmOrderOutcome.Unknown;
         operation.phase = VmPhase.Draining;
         return;
       case VmOrderOutcome.Fenced:
         this.#context.depose(`VM ${vm} has seen a higher token`);
         return;
       case VmOrderOutcome.Busy:
+        // The VM may be busy with the order that was not answered, until it is listed as up again.
+        if (operation.isUncertain) this.#recordUnavailable(operation);
+        else this.abandonPlan(vm, outcome);
+        return;
       case VmOrderOutcome.Invalid:
       case VmOrderOutcome.NotInWave:
         this.abandonPlan(vm, outcome);
--- a/packages/execution/src/vm-orders.ts
+++ b/packages/execution/src/vm-orders.ts
@@ -26,6 +26,8 @@
   phase: VmPhase;
   /** Monotonic time of the last order, in milliseconds; 0 before the first. */
   orderedAt: number;
+  /** Whether an order was not answered, so that it may have been executed. */
+  isUncertain: boolean;
 }
 
 /** Sends orders for VMs, but only while no other node can be sending them. */
--- a/packages/execution/test/vm-controller.test.ts
+++ b/packages/execution/test/vm-controller.test.ts
@@ -3,6 +3,7 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import { waitUntil } from '@currantgap/standins';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { VmOrderOutcome } from '../src/ports.ts';
 import { buildAttempt } from '../src/run-orders.ts';
 import { createTarget, flushPromises } from './term-harness.ts';
 import { createController, VM } from './vm-harness.ts';
@@ -68,6 +69,28 @@
     log.stop();
   });
 
+  // Guards work against an order whose answer was lost: the VM service then says that the VM is busy
+  // with it, and the VM is about to leave.
+  it('gets no work while an order that was not answered keeps it busy', async () => {
+    const { harness, port, controller, log } = await createController();
+    const target = harness.addTarget('t1');
+    port.outcomes.push(VmOrderOutcome.Unknown, VmOrderOutcome.Busy);
+    controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
+    for (const count of [1, 2]) {
+      controller.sweep();
+      await waitUntil(() => port.moves.length === count);
+      await flushPromises();
+    }
+    assert.notEqual(controller.findOperation(VM.name), undefined);
+    assert.equal(target.isOpen(harness.now), false);
+    harness.advance(500);
+    controller.sweep();
+    await flushPromises();
+    assert.equal(controller.findOperation(VM.name), undefined);
+    assert.ok(target.isOpen(harness.now));
+    log.stop();
+  });
+
   it('gets work again when the plan is abandoned', async () => {
     const { harness, controller, log } = await createController();
     const target = harness.addTarget('t1');
--- a/packages/execution/test/vm-harness.ts
+++ b/packages/execution/test/vm-harness.ts
@@ -24,6 +24,8 @@
   readonly moves: string[] = [];
   readonly maintained: string[] = [];
   vms: readonly Vm[] = [VM];
+  /** Outcomes of the next moves; further ones are accepted. */
+  readonly outcomes: VmOrderOutcome[] = [];
 
   async list(): Promise<readonly Vm[]> {
     return Promise.resolve(this.vms);
@@ -31,7 +33,7 @@
 
   async move({ vm }: VmOrder): Promise<VmOrderOutcome> {
     this.moves.push(vm);
-    return Promise.resolve(VmOrderOutcome.Accepted);
+    return Promise.resolve(this.outcomes.shift() ?? VmOrderOutcome.Accepted);
   }
 
   async maintain({ vm }: VmOrder): Promise<VmOrderOutcome> {
