fix(execution): a wave whose slots are all taken, and more, takes no further VM

VMs that the predecessor ordered lately occupy slots since, moves as well, so the number of free slots can fall below zero, and a negative end of `slice` takes all but the last. Ruled out: the order log, which named all eight; the list, which showed them in maintenance. Change: no slot is given away unless one is free.

--- a/packages/execution/src/wave-controller.ts
+++ b/packages/execution/src/wave-controller.ts
@@ -123,6 +123,7 @@
       const isOff = services.some((service) => service.isSpare && service.name === vm.pool);
       due.push(this.#buildDueVm(vm, isOff, loads.get(vm.pool)));
     }
+    if (freeSlots <= 0) return;
     const elapsedShare = (context.clock.now - seenAt) / (wave.durationS * MS_PER_SECOND);
     for (const vm of sortDueVms(due, elapsedShare).slice(0, freeSlots)) {
       vmController.startPlan(vm.name, { kind: 'maintain', wave: wave.number });
--- a/packages/execution/test/vm-manager.test.ts
+++ b/packages/execution/test/vm-manager.test.ts
@@ -24,17 +24,18 @@
   readonly manager: VmManager;
 }
 
-/** Two VMs, each with a target that has reported, and a wave for both. */
+/** Three VMs, each with a target that has reported, and a wave for all. */
 async function createManager(concurrency: number): Promise<Setup> {
   const harness = new TermHarness();
   await harness.writeFence();
   const { context, store } = harness;
-  const second: Vm = { ...VM, name: 'vm-t2', targetId: 't2' };
-  const wave: Wave = { number: 1, vms: [VM.name, second.name], concurrency, durationS: 20 };
+  const ids = ['t1', 't2', 't3'];
+  const vms = ids.map((targetId): Vm => ({ ...VM, name: `vm-${targetId}`, targetId }));
+  const wave: Wave = { number: 1, vms: vms.map(({ name }) => name), concurrency, durationS: 20 };
   harness.waves = [wave];
-  for (const id of ['t1', 't2']) harness.addTarget(id);
+  for (const id of ids) harness.addTarget(id);
   const port = new FakeVmPort();
-  port.vms = [VM, second];
+  port.vms = vms;
   const orders = new RunOrders(context);
   const manager = new VmManager({
     context,
@@ -52,9 +53,10 @@
   return { harness, port, manager };
 }
 
-/** The row of the order log in which a predecessor has noted that it is about to order a VM. */
-function createOrderRow({ store }: TermHarness, vm: string): Row {
-  const value = JSON.stringify({ [vm]: Math.round(store.now) });
+/** The row of the order log in which a predecessor has noted that it is about to order VMs. */
+function createOrderRow({ store }: TermHarness, vms: readonly string[]): Row {
+  const now = Math.round(store.now);
+  const value = JSON.stringify(Object.fromEntries(vms.map((vm) => [vm, now])));
   const key = { table: VM_ORDER_TABLE, part: OWNER_PART, key: 'recent' };
   return { ...key, value, version: 0, isDeleted: false };
 }
@@ -78,13 +80,13 @@
 // predecessor ordered may not order anything.
 describe('a new owner that has not read the orders of earlier owners', () => {
   it('orders no VM, and afterwards none that was ordered lately', async () => {
-    const setup = await createManager(2);
+    const setup = await createManager(3);
     const { harness, manager, port } = setup;
     assert.deepEqual(await sweepAndWait(setup), []);
-    manager.load((table) => (table === VM_ORDER_TABLE ? [createOrderRow(harness, VM.name)] : []));
+    manager.load((table) => (table === VM_ORDER_TABLE ? [createOrderRow(harness, [VM.name])] : []));
     await sweep(setup);
-    await waitUntil(() => port.maintained.length > 0);
-    assert.deepEqual(port.maintained, ['vm-t2']);
+    await waitUntil(() => port.maintained.length === 2);
+    assert.deepEqual(port.maintained, ['vm-t2', 'vm-t3']);
     manager.stop();
   });
 });
@@ -95,7 +97,7 @@
   it('keeps the slot for a VM that an earlier owner has ordered lately', async () => {
     const setup = await createManager(1);
     const { harness, manager, port } = setup;
-    manager.load((table) => (table === VM_ORDER_TABLE ? [createOrderRow(harness, VM.name)] : []));
+    manager.load((table) => (table === VM_ORDER_TABLE ? [createOrderRow(harness, [VM.name])] : []));
     assert.deepEqual(await sweepAndWait(setup), []);
     // The times in the log are rounded.
     harness.advance(BLOCKED_MS + 1);
@@ -103,4 +105,17 @@
     await waitUntil(() => port.maintained.length === 1);
     manager.stop();
   });
+
+  // Found by a hunt: with more VMs ordered lately than slots, all but one of the others were taken.
+  it('is full if more of its VMs were ordered lately than it has slots', async () => {
+    const setup = await createManager(1);
+    const { harness, manager } = setup;
+    const row = createOrderRow(harness, [VM.name, 'vm-t2']);
+    manager.load((table) => (table === VM_ORDER_TABLE ? [row] : []));
+    harness.waves = harness.waves.map((wave) => ({ ...wave, vms: [...wave.vms, 'vm-t4'] }));
+    harness.addTarget('t4');
+    setup.port.vms = [...setup.port.vms, { ...VM, name: 'vm-t4', targetId: 't4' }];
+    assert.deepEqual(await sweepAndWait(setup), []);
+    manager.stop();
+  });
 });
