perf(execution): a VM that is switched off may be ordered right after a take-over

What callers saw: after a change of the owner, pools in a burst got no VM from the spare pool for four seconds. A VM without any known target was of unknown occupancy until no lease of an earlier term could last; VMs of the spare pool have no target. Ruled out: the order log, which blocks only the VMs that were ordered lately. Change: if the VM service names the targets of VMs and names none for this one, it is switched off, and so empty. A list without any target says nothing, as before. Conclusion: safe orders do not have to be slow ones.

--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -4,7 +4,7 @@
 import type { JobRecord } from './job-index.ts';
 import type { PoolLoad } from './pool-load.ts';
 import type { VmController } from './vm-controller.ts';
-import { findOccupancy, VmOccupancy } from './vm-occupancy.ts';
+import { VmOccupancy } from './vm-occupancy.ts';
 
 /** Milliseconds for which a pool must have surplus VMs before one is switched off. */
 const SURPLUS_MS = 2_000;
@@ -132,7 +132,7 @@
     const { name, state } = member.vm;
     if (member.hasPersistent || this.#vmController.findOperation(name) !== undefined) return false;
     if (state !== VmState.Up || !this.#vmController.canOrder(name)) return false;
-    return findOccupancy(this.#context, member.vm) !== VmOccupancy.Unknown;
+    return this.#vmController.findOccupancy(member.vm) !== VmOccupancy.Unknown;
   }
 }
 
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -30,6 +30,8 @@
   #listedAt = -Infinity;
   #isListing = false;
   #isListed = false;
+  /** Whether the VM service names the targets of VMs. */
+  #hasTargetIds = false;
 
   constructor(options: {
     context: OwnerContext;
@@ -62,6 +64,11 @@
     return this.#vmOrders.isBlocked(vm);
   }
 
+  /** Finds out whether runs are active on a VM of the last list. */
+  findOccupancy(vm: Vm): VmOccupancy {
+    return findOccupancy(this.#context, { vm, hasTargetIds: this.#hasTargetIds });
+  }
+
   /** All VMs of the last list. */
   get vms(): Iterable<Vm> {
     return this.#vms.values();
@@ -134,6 +141,7 @@
 
   #applyList(vms: readonly Vm[], requestedAt: number): void {
     this.#isListed = true;
+    this.#hasTargetIds = vms.some(({ targetId }) => targetId !== undefined);
     this.#settleEndedTargets(vms);
     this.#vms.clear();
     for (const vm of vms) this.#vms.set(vm.name, vm);
@@ -154,7 +162,7 @@
     const { clock, logger, reconciliation } = this.#context;
     const running = new Set(vms.map(({ targetId }) => targetId));
     // Without the ids of targets, the list says nothing about them.
-    if (!vms.some(({ targetId }) => targetId !== undefined)) return;
+    if (!this.#hasTargetIds) return;
     for (const { id } of reconciliation.listPending(clock.now)) {
       if (running.has(id)) continue;
       reconciliation.recordReport(id);
@@ -179,10 +187,10 @@
    */
   #drain(operation: VmOperation): void {
     const { clock, fleet } = this.#context;
-    const listed = this.#vms.get(operation.vm);
-    if (listed === undefined) return;
+    const vm = this.#vms.get(operation.vm);
+    if (vm === undefined) return;
     const targets = fleet.listOnVm(operation.vm);
-    if (findOccupancy(this.#context, listed) !== VmOccupancy.Empty) {
+    if (this.findOccupancy(vm) !== VmOccupancy.Empty) {
       if (clock.now > operation.startedAt + DRAIN_TIMEOUT_MS && operation.plan.kind === 'move') {
         this.abandonPlan(operation.vm, 'not drained in time');
         return;
@@ -194,9 +202,9 @@
     if (!this.#vmOrders.canSendFor(operation.vm)) return;
     operation.phase = VmPhase.Ordered;
     operation.orderedAt = clock.now;
-    const { vm, plan } = operation;
+    const { plan } = operation;
     const reports = describeReports(targets, clock.now);
-    this.#context.logger.writeInfo('VM order sent', { vm, plan: plan.kind, reports });
+    this.#context.logger.writeInfo('VM order sent', { vm: vm.name, plan: plan.kind, reports });
     void this.#vmOrders.send(operation).then((outcome) => {
       this.#applyOutcome(operation, outcome);
     });
--- a/packages/execution/src/vm-occupancy.ts
+++ b/packages/execution/src/vm-occupancy.ts
@@ -12,16 +12,23 @@
   Empty = 'empty',
 }
 
+/** A VM as listed by the VM service. */
+export interface ListedVm {
+  readonly vm: Vm;
+  /** Whether the list names the targets of VMs, so that a VM without one is switched off. */
+  readonly hasTargetIds: boolean;
+}
+
 /**
  * Finds out whether runs are active on a VM. A VM is empty only if that is known: its targets have
  * reported in this term, or every lease that was granted on them has expired.
  */
-export function findOccupancy(context: OwnerContext, vm: Vm): VmOccupancy {
+export function findOccupancy(context: OwnerContext, listed: ListedVm): VmOccupancy {
   const { clock, fleet, reconciliation } = context;
-  const targets = fleet.listOnVm(vm.name);
+  const targets = fleet.listOnVm(listed.vm.name);
   if (targets.some(({ assignmentCount }) => assignmentCount > 0)) return VmOccupancy.Occupied;
   const hasLeaseOfEarlierTerm = clock.now < reconciliation.deadline;
-  if (hasLeaseOfEarlierTerm && !hasListedTarget(vm, targets)) return VmOccupancy.Unknown;
+  if (hasLeaseOfEarlierTerm && !hasKnownTargets(listed, targets)) return VmOccupancy.Unknown;
   const areRunsKnown = targets.every(
     (target) =>
       target.areRunsKnown || (!hasLeaseOfEarlierTerm && clock.now > target.leasesExpireAt),
@@ -29,8 +36,9 @@
   return areRunsKnown ? VmOccupancy.Empty : VmOccupancy.Unknown;
 }
 
-/** Whether the target that the VM list names is known; if it names none, whether any target is. */
-function hasListedTarget({ targetId }: Vm, targets: readonly TargetRecord[]): boolean {
-  if (targetId === undefined || targetId === '') return targets.length > 0;
+/** Whether the target that the VM list names, or any if it names none, is known or there is none. */
+function hasKnownTargets(listed: ListedVm, targets: readonly TargetRecord[]): boolean {
+  const { targetId } = listed.vm;
+  if (targetId === undefined) return listed.hasTargetIds || targets.length > 0;
   return targets.some(({ id }) => id === targetId);
 }
--- a/packages/execution/src/wave-controller.ts
+++ b/packages/execution/src/wave-controller.ts
@@ -5,7 +5,7 @@
 import type { OwnerContext } from './context.ts';
 import type { PoolLoad } from './pool-load.ts';
 import type { VmController } from './vm-controller.ts';
-import { findOccupancy, VmOccupancy } from './vm-occupancy.ts';
+import { VmOccupancy } from './vm-occupancy.ts';
 import { VmPhase } from './vm-orders.ts';
 
 /** Table with the progress of each maintenance wave. */
@@ -119,7 +119,7 @@
       if (vm === undefined || done.has(name) || vmController.findOperation(name) !== undefined)
         continue;
       if (vm.state !== VmState.Up || !vmController.canOrder(name)) continue;
-      if (findOccupancy(context, vm) === VmOccupancy.Unknown) continue;
+      if (vmController.findOccupancy(vm) === VmOccupancy.Unknown) continue;
       const isOff = services.some((service) => service.isSpare && service.name === vm.pool);
       due.push(this.#buildDueVm(vm, isOff, loads.get(vm.pool)));
     }
--- a/packages/execution/test/unreported-targets.test.ts
+++ b/packages/execution/test/unreported-targets.test.ts
@@ -57,6 +57,23 @@
     setup.log.stop();
   });
 
+  it('is ordered at once if the VM list names targets, but none for it, because it is off', async () => {
+    const off = { ...VM, name: 'vm-off', targetId: undefined };
+    const setup = await createController([], [VM, off]);
+    const { controller, port, log } = setup;
+    controller.startPlan(off.name, MOVE);
+    controller.sweep();
+    await waitUntil(() => port.moves.includes(off.name));
+    log.stop();
+  });
+
+  it('is not ordered if the VM list names no targets at all', async () => {
+    const setup = await createController([], [{ ...VM, targetId: undefined }]);
+    setup.controller.startPlan(VM.name, MOVE);
+    assert.deepEqual(await sweep(setup), []);
+    setup.log.stop();
+  });
+
   it('is not ordered before its target has reported in this term', async () => {
     const setup = await createController();
     const target = addUnreported(setup.harness, 't1');
