perf(execution): unreported runs are computed ten times a second instead of in each planning pass

Cause: since each planning pass of a new owner, one every 4 ms under load, walks all inherited tasks for the caps of teams, while targets have not reported. Ruled out: an effect on the caps; the amount only shrinks during a term, so an older figure is the safe one. Change: it is computed at most every 100 ms.

--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -25,6 +25,9 @@
 /** Multiple of the latency objective up to which a late completion still counts. */
 const LATE_LIMIT_FACTOR = 3;
 
+/** Milliseconds between computations of what targets without a report may run. */
+const UNREPORTED_PERIOD_MS = 100;
+
 /** A step with tasks that wait for targets. */
 interface ReadyStep extends OrderingCriteria {
   readonly record: JobRecord;
@@ -40,6 +43,8 @@
   readonly #quarantine: Quarantine;
   /** Resources that runs on targets without a report may use, by team. */
   #unreported: ReadonlyMap<string, Resources> = new Map();
+  /** Monotonic time from which `#unreported` is computed again, in milliseconds. */
+  #unreportedExpiresAt = 0;
 
   constructor(
     context: OwnerContext,
@@ -56,7 +61,7 @@
   /** Starts the waiting tasks that can start now, most urgent steps first. */
   plan(): void {
     if (this.#context.partitionGuard.shouldPause()) return;
-    this.#unreported = computeUnreportedRuns(this.#context);
+    this.#refreshUnreported();
     for (const [service, steps] of this.#listReadySteps()) {
       steps.sort(compareUrgency);
       const open = this.#listOpenTargets(service);
@@ -64,6 +69,14 @@
     }
   }
 
+  /** Computes anew, once in a while, what may run unreported: it only shrinks during a term. */
+  #refreshUnreported(): void {
+    const { now } = this.#context.clock;
+    if (now < this.#unreportedExpiresAt) return;
+    this.#unreportedExpiresAt = now + UNREPORTED_PERIOD_MS;
+    this.#unreported = computeUnreportedRuns(this.#context);
+  }
+
   /** Lists the targets of a pool that accept new work now. */
   #listOpenTargets(service: string): TargetRecord[] {
     const { clock, fleet, getOperatorView } = this.#context;
