fix(execution): a task that a target lists before its job is known is not started elsewhere

Cause, the same class of fault as in the incident of unreported targets: the predecessor starts a submission that was written just after the take-over; the new owner hears of the run from the target before it reads the submission, adopts nothing, and starts the task elsewhere once the submission arrives. Ruled out: a start under the old token after the target had reported under the new one; the target would have refused it. Change: tasks that a target lists and whose jobs are not known yet are remembered until its next report, and are not started meanwhile. Before: the new test sees the second start. After: the run is adopted; 99 unit tests of the package pass. Conclusion: what a target lists counts, known or not.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -62,6 +62,15 @@
     return [...(this.#byVm.get(vm) ?? [])].filter((target) => !this.isTerminated(target));
   }
 
+  /** Lists the tasks that may be active on targets although their jobs were not known. */
+  listUnknownTasks(): ReadonlySet<string> {
+    const names = new Set<string>();
+    for (const { unknownTasks } of this.#targets.values()) {
+      for (const name of unknownTasks) names.add(name);
+    }
+    return names;
+  }
+
   /** Gives a VM no new work; this includes a target that registers there later. */
   cordon(vm: string): void {
     this.#cordonedVms.add(vm);
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -62,7 +62,9 @@
     }
     target.hasUnappliedEnds = (report.ended.at(-1)?.sequence ?? 0) > target.appliedThrough;
     const listedAssignments = new Set<Assignment>();
-    target.hasUnknownRuns = false;
+    target.unknownTasks = new Set(
+      report.running.map(({ task }) => task).filter((task) => this.#isJobUnknown(task)),
+    );
     for (const running of report.running) {
       const assignment = this.#applyRunning(target, running);
       if (assignment !== undefined) listedAssignments.add(assignment);
@@ -152,10 +154,7 @@
   /** Assigns a run that an earlier term started, or stops it if its job or occurrence has ended. */
   #adopt(target: TargetRecord, running: ActiveRun): Assignment | undefined {
     const { bounds, clock, fleet, logger } = this.#context;
-    if (this.#isJobUnknown(running.task)) {
-      target.hasUnknownRuns = true;
-      return undefined;
-    }
+    if (target.unknownTasks.has(running.task)) return undefined;
     const task = this.#findTask(running.task);
     if (task === undefined) {
       this.#orders.stopUnneeded(target, running);
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -28,8 +28,8 @@
   appliedThrough = 0;
   /** Whether the last report listed ended runs that could not be applied yet. */
   hasUnappliedEnds = false;
-  /** Whether the last report listed active runs whose jobs are not known yet. */
-  hasUnknownRuns = false;
+  /** Names of the tasks that the last report listed as active and whose jobs were not known yet. */
+  unknownTasks: ReadonlySet<string> = new Set();
   /**
    * Whether another incarnation may answer. The next lease renewal then acknowledges no ended runs.
    */
@@ -99,7 +99,7 @@
 
   /** Whether all runs on the target are known: those of earlier terms from a report of this term. */
   get areRunsKnown(): boolean {
-    return this.reportedAt !== undefined && !this.hasUnknownRuns;
+    return this.reportedAt !== undefined && this.unknownTasks.size === 0;
   }
 
   /** Whether the target has listed all assigned runs, and so was alive after their starts. */
--- a/packages/execution/test/unreported-targets.test.ts
+++ b/packages/execution/test/unreported-targets.test.ts
@@ -3,7 +3,10 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { AttemptPhase, type Job, type TaskRun } from '@currantgap/jobs';
 import { waitUntil } from '@currantgap/standins';
+import { AdviceCache } from '../src/advice-cache.ts';
 import { JobLookup } from '../src/job-lookup.ts';
+import { Planner } from '../src/planner.ts';
+import { Quarantine } from '../src/quarantine.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
 import { buildAttempt } from '../src/run-orders.ts';
 import type { TargetRecord } from '../src/target-record.ts';
@@ -132,6 +135,30 @@
   });
 });
 
+// Guards against a second run of a task: around a take-over a target may list a run of a submission that
+// the new owner has not read yet (TWICE on clocks-and-cloud, seed 19685198322).
+describe('a task that a target lists before its job is known', () => {
+  it('is not started elsewhere when the job arrives, but adopted with the next report', async () => {
+    const { harness, orders, log } = await createController();
+    const { context } = harness;
+    const [first] = [harness.addTarget('t1'), harness.addTarget('t2')];
+    const processor = new ReportProcessor(context, orders, new JobLookup(context, harness.store));
+    const quarantine = new Quarantine(context.clock, () => undefined);
+    const planner = new Planner(context, orders, new AdviceCache(context, undefined), quarantine);
+    const running = [createRunning(`${JOB_ID}.0.0.0`, 1)];
+    processor.apply(first, createReport({ running }), harness.now);
+    const job = harness.addJob(JOB_ID, [{}]);
+    harness.advance(1);
+    planner.plan();
+    assert.deepEqual(harness.targetPort.starts, []);
+    processor.apply(first, createReport({ running }), harness.now);
+    assert.equal(getTask(job, 0).attempts.length, 1);
+    planner.plan();
+    assert.deepEqual(harness.targetPort.starts, []);
+    log.stop();
+  });
+});
+
 // Incident of 2026-12-04, farolito-prod: a target that was cut off from the store lost its registry
 // entry and still ran tasks; its VM counted as empty 0.3 s later.
 describe('a VM whose target has lost its registry entry', () => {
