test(standins): a fleet counts as started once all entries have applied the granted keys

Cause: the scenario takes the sequence that entry 1 reports plus one as the sequence of its change. The fleet was handed over after the eighth change was acknowledged, while entry 1 still reported the fourth; the change itself was the ninth, once, as it should be. Ruled out: a change that was applied twice; the document and seven keys make eight. Change: the start of the stand-in fleet waits until every entry reports all eight. What is asserted stays.

--- a/packages/standins/src/fleet.ts
+++ b/packages/standins/src/fleet.ts
@@ -57,7 +57,7 @@
 
   /**
    * Starts the platform, the targets and the entries, applies the document and grants every team a
-   * key. Resolves once every entry holds permits.
+   * key. Resolves once every entry has applied all of this and holds permits.
    */
   async start(): Promise<void> {
     const { shape, entryCount, command, environment = 'production', runMs, timing } = this.#options;
@@ -85,6 +85,8 @@
     for (const [index, team] of shape.teams.entries()) {
       await this.grantKey(team.name, index % entryCount);
     }
+    // The document is the first change; each key is one more.
+    await this.waitForSequence(1 + shape.teams.length);
     await this.waitForPermits();
   }
 
