fix(execution): a task whose end is listed but not applied yet is not started again

Cause, the same class of fault: ends are applied in their order, and one whose job the new owner has not read yet keeps back all later ones of its target. The target counted as heard, the tasks had no run, so they started again; the trace has such starts 0.1 s after the take-over, one of them on the very target. Change: tasks whose listed ends are not applied are not started until the next report. Before: the new test sees both tasks start again. Conclusion: a report counts for what it lists, also where it cannot be applied yet.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -62,11 +62,12 @@
     return [...(this.#byVm.get(vm) ?? [])].filter((target) => !this.isTerminated(target));
   }
 
-  /** Lists the tasks that may be active on targets although their jobs were not known. */
-  listUnknownTasks(): ReadonlySet<string> {
+  /** Lists the tasks that may be active on targets, or done there, which is not applied yet. */
+  listUnresolvedTasks(): ReadonlySet<string> {
     const names = new Set<string>();
-    for (const { unknownTasks } of this.#targets.values()) {
+    for (const { unknownTasks, unappliedTasks } of this.#targets.values()) {
       for (const name of unknownTasks) names.add(name);
+      for (const name of unappliedTasks) names.add(name);
     }
     return names;
   }
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -92,12 +92,12 @@
     const { now } = clock;
     const wallNow = getWallNow();
     const byService = new Map<string, ReadyStep[]>();
-    const unknownTasks = this.#context.fleet.listUnknownTasks();
+    const unresolved = this.#context.fleet.listUnresolvedTasks();
     for (const record of active.values()) {
       if (record.route === undefined) continue;
       for (const step of record.job.listRunnableSteps(wallNow)) {
         const waiting = this.#listStartable(record, step, now).filter(
-          ({ name }) => !unknownTasks.has(name),
+          ({ name }) => !unresolved.has(name),
         );
         if (waiting.length === 0) continue;
         const ready = this.#buildReadyStep(record, step, waiting, wallNow);
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -60,6 +60,8 @@
       target.appliedThrough = ended.sequence;
       changeNumber = Math.max(changeNumber, this.#applyEnded(target, ended));
     }
+    const unapplied = report.ended.filter(({ sequence }) => sequence > target.appliedThrough);
+    target.unappliedTasks = new Set(unapplied.map(({ task }) => task));
     target.hasUnappliedEnds = (report.ended.at(-1)?.sequence ?? 0) > target.appliedThrough;
     const listedAssignments = new Set<Assignment>();
     target.unknownTasks = new Set(
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -30,6 +30,8 @@
   hasUnappliedEnds = false;
   /** Names of the tasks that the last report listed as active and whose jobs were not known yet. */
   unknownTasks: ReadonlySet<string> = new Set();
+  /** Names of the tasks whose ended runs the last report listed and that could not be applied yet. */
+  unappliedTasks: ReadonlySet<string> = new Set();
   /**
    * Whether another incarnation may answer. The next lease renewal then acknowledges no ended runs.
    */
--- a/packages/execution/test/unreported-targets.test.ts
+++ b/packages/execution/test/unreported-targets.test.ts
@@ -10,7 +10,14 @@
 import { ReportProcessor } from '../src/report-processor.ts';
 import { buildAttempt } from '../src/run-orders.ts';
 import type { TargetRecord } from '../src/target-record.ts';
-import { createReport, createRunning, createTarget, type TermHarness } from './term-harness.ts';
+import { EndKind, JobState } from '@currantgap/model';
+import {
+  createEnded,
+  createReport,
+  createRunning,
+  createTarget,
+  type TermHarness,
+} from './term-harness.ts';
 import { createController, VM } from './vm-harness.ts';
 
 const JOB_ID = '0000000000000001';
@@ -138,13 +145,19 @@
 // Guards against a second run of a task: around a take-over a target may list a run of a submission that
 // the new owner has not read yet (TWICE on clocks-and-cloud, seed 19685198322).
 describe('a task that a target lists before its job is known', () => {
-  it('is not started elsewhere when the job arrives, but adopted with the next report', async () => {
-    const { harness, orders, log } = await createController();
-    const { context } = harness;
-    const [first] = [harness.addTarget('t1'), harness.addTarget('t2')];
-    const processor = new ReportProcessor(context, orders, new JobLookup(context, harness.store));
+  async function createTerm() {
+    const setup = await createController();
+    const { context, store } = setup.harness;
+    const [first] = [setup.harness.addTarget('t1'), setup.harness.addTarget('t2')];
+    const processor = new ReportProcessor(context, setup.orders, new JobLookup(context, store));
     const quarantine = new Quarantine(context.clock, () => undefined);
-    const planner = new Planner(context, orders, new AdviceCache(context, undefined), quarantine);
+    const advice = new AdviceCache(context, undefined);
+    const planner = new Planner(context, setup.orders, advice, quarantine);
+    return { ...setup, first, processor, planner };
+  }
+
+  it('is not started elsewhere when the job arrives, but adopted with the next report', async () => {
+    const { harness, first, processor, planner, log } = await createTerm();
     const running = [createRunning(`${JOB_ID}.0.0.0`, 1)];
     processor.apply(first, createReport({ running }), harness.now);
     const job = harness.addJob(JOB_ID, [{}]);
@@ -157,6 +170,25 @@
     assert.deepEqual(harness.targetPort.starts, []);
     log.stop();
   });
+
+  // Ends are applied in their order, so one of an unknown job keeps back those of other jobs.
+  it('is not started again if it has ended there, nor is a task whose end is listed after it', async () => {
+    const { harness, first, processor, planner, log } = await createTerm();
+    const known = harness.addJob('0000000000000002', [{}], true);
+    const ended = [
+      createEnded(1, `${JOB_ID}.0.0.0`, 1, EndKind.Done),
+      createEnded(2, `${known.id}.0.0.0`, 1, EndKind.Done),
+    ];
+    processor.apply(first, createReport({ ended }), harness.now);
+    const job = harness.addJob(JOB_ID, [{}]);
+    planner.plan();
+    assert.deepEqual(harness.targetPort.starts, []);
+    processor.apply(first, createReport({ ended }), harness.now);
+    planner.plan();
+    assert.deepEqual(harness.targetPort.starts, []);
+    assert.deepEqual([job.state, known.state], [JobState.Completed, JobState.Completed]);
+    log.stop();
+  });
 });
 
 // Incident of 2026-12-04, farolito-prod: a target that was cut off from the store lost its registry
