fix(execution): the disruption budget counts tasks on draining targets

Targets had begun to drain 0.2 s before: their tasks counted as available for the planned stop, and the drainer then stopped them at once, whatever the budget, while that stop was still on its way. Change: a planned stop counts ready tasks on draining targets as unavailable. The drainer keeps to the budget as well, until the target is about to leave; tasks on several draining targets don't wait for each other.

--- a/packages/execution/src/drainer.ts
+++ b/packages/execution/src/drainer.ts
@@ -1,6 +1,7 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import { TargetState } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
+import { canStopOnDrainingTarget } from './disruption-budget.ts';
 import type { RunOrders } from './run-orders.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
 
@@ -15,8 +16,8 @@
   }
 
   /**
-   * Stops persistent tasks on draining targets, and checkpointing tasks that would not end in the
-   * remaining time.
+   * Stops persistent tasks on draining targets, as fast as their disruption budgets allow and in any
+   * case before the target is gone, and checkpointing tasks that would not end in the remaining time.
    */
   sweep(): void {
     for (const target of this.#context.fleet.targets) {
@@ -31,17 +32,18 @@
     const { task, attempt } = assignment;
     if (attempt.phase !== AttemptPhase.Running) return;
     const step = task.step.definition;
+    const drainingMs = clock.now - (target.drainingSince ?? clock.now);
+    const remainingDrainMs = (target.entry.remainingMs ?? 0) - drainingMs;
+    const isLeavingSoon = remainingDrainMs < bounds.stopMs * 2;
     if (step.isPersistent) {
-      this.#orders.stop(assignment, 'target drains');
+      if (isLeavingSoon || canStopOnDrainingTarget(this.#context, assignment)) {
+        this.#orders.stop(assignment, 'target drains');
+      }
       return;
     }
-    if (!step.isCheckpointing) return;
+    if (!step.isCheckpointing || !isLeavingSoon) return;
     const elapsedMs = clock.now - attempt.startedAt;
     const remainingTaskMs = durations.estimateTaskMs(task.step.job.stored.route, step) - elapsedMs;
-    const drainingMs = clock.now - (target.drainingSince ?? clock.now);
-    const remainingDrainMs = (target.entry.remainingMs ?? 0) - drainingMs;
-    if (remainingTaskMs > remainingDrainMs && remainingDrainMs < bounds.stopMs * 2) {
-      this.#orders.stop(assignment, 'target drains');
-    }
+    if (remainingTaskMs > remainingDrainMs) this.#orders.stop(assignment, 'target drains');
   }
 }
--- a/packages/execution/test/sweepers.test.ts
+++ b/packages/execution/test/sweepers.test.ts
@@ -3,6 +3,7 @@
 import { AttemptPhase, type TaskRun } from '@currantgap/jobs';
 import { JobState, TargetState, type Step } from '@currantgap/model';
 import { PageSizer } from '@currantgap/store';
+import { canStopPersistent } from '../src/disruption-budget.ts';
 import { JobPurger } from '../src/job-purger.ts';
 import { Drainer } from '../src/drainer.ts';
 import {
@@ -57,6 +58,66 @@
   });
 });
 
+describe('the disruption budget of a step with a task on a draining target', () => {
+  /** Runs two ready tasks of one step, which may miss one, on a sound and on a draining target. */
+  function createStep(remainingMs: number) {
+    const harness = new TermHarness();
+    const [sound, draining] = [harness.addTarget('t1'), harness.addTarget('t2')];
+    const definition = { isPersistent: true, count: 2, antiAffinity: 1, disruptionBudget: 1 };
+    const job = harness.addJob('00000000000000d0', [definition]);
+    const tasks = job.openOccurrence(0).steps[0]?.tasks ?? [];
+    for (const [index, target] of [sound, draining].entries()) {
+      const task = tasks[index];
+      assert.ok(task);
+      const attempt = buildAttempt(target, 1, AttemptPhase.Running, harness.now);
+      attempt.percent = 100;
+      harness.fleet.assign(target, task, attempt);
+    }
+    draining.entry = createTarget('t2', { state: TargetState.Draining, remainingMs });
+    const [assignment] = sound.assignments;
+    assert.ok(assignment);
+    const orders = new RunOrders(harness.context);
+    const drainer = new Drainer(harness.context, orders);
+    const countStops = () => harness.targetPort.stops.length;
+    return { harness, assignment, orders, drainer, countStops };
+  }
+
+  it('counts that task as unavailable, so that a planned stop waits', () => {
+    const { harness, assignment } = createStep(5_000);
+    assert.equal(canStopPersistent(harness.context, assignment), false);
+  });
+
+  it('lets that task go on while a planned stop uses up the budget', () => {
+    const { harness, assignment, orders, drainer, countStops } = createStep(5_000);
+    orders.stop(assignment, 'VM is emptied');
+    drainer.sweep();
+    assert.equal(countStops(), 1);
+    assignment.attempt.phase = AttemptPhase.Running;
+    harness.advance(100);
+    drainer.sweep();
+    assert.equal(countStops(), 2);
+  });
+
+  it('stops that task in any case before the target is gone', () => {
+    const { harness, assignment, orders, drainer, countStops } = createStep(2_000);
+    orders.stop(assignment, 'VM is emptied');
+    drainer.sweep();
+    harness.advance(1_000);
+    drainer.sweep();
+    assert.equal(countStops(), 2);
+  });
+
+  it('does not keep tasks on two draining targets waiting for each other', () => {
+    const { harness, assignment, drainer, countStops } = createStep(5_000);
+    const target = harness.fleet.find('t1');
+    assert.ok(target);
+    target.entry = createTarget('t1', { state: TargetState.Draining, remainingMs: 5_000 });
+    drainer.sweep();
+    assert.equal(countStops(), 1);
+    assert.equal(assignment.attempt.phase, AttemptPhase.Stopping);
+  });
+});
+
 describe('the pacer', () => {
   function createPair(): {
     harness: TermHarness;
