feat(cli): currantgap configuration check

Cause: operators learn of a mistake in a configuration only once it is in force; entries without a required field are left out silently. Change: configuration check FILE [--against FILE] prints errors with file, line and column, routes that never match or lead nowhere, teams without weight or key, limits that contradict each other, and what differs from the version in force, without printing keys. Exit code 2 if there is an error. Rules in packages/configuration-check; places and wire names in platform/. New library: @humanwhocodes/momoa, a JSON parser that keeps lines and columns. Ruled out: JSON.parse, whose messages on Node.js 20 often name no position; jsonc-parser, whose UMD bundle esbuild cannot include. Size of a team's cap against the usual size of a route's tasks is not checked: a configuration doesn't hold it.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,7 @@
 import { findNearest } from '@currantgap/settings';
 import { Builtins, Cli, type CommandClass } from 'clipanion';
 import * as changes from './change-commands.ts';
+import { ConfigurationCheckCommand } from './configuration-command.ts';
 import { EntryCommand, SettingsCheckCommand } from './entry-command.ts';
 import * as environment from './environment-commands.ts';
 import { ExitCode } from './exit-code.ts';
@@ -31,12 +32,23 @@
   lists.MemberRemoveCommand,
   NodeCommand,
   NodeCheckCommand,
+  ConfigurationCheckCommand,
   ExplainCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
 
-const FLAGS = ['--url', '--json', '--settings', '--base', '--from', '--yes', '--help', '--version'];
+const FLAGS = [
+  '--url',
+  '--json',
+  '--settings',
+  '--base',
+  '--from',
+  '--yes',
+  '--against',
+  '--help',
+  '--version',
+];
 
 /** Parses the arguments, runs the command and returns its exit code. */
 export async function run(args: readonly string[]): Promise<number> {
--- /dev/null
+++ b/packages/configuration-check/src/index.ts
@@ -0,0 +1,3 @@
+export * from './check.ts';
+export * from './compare.ts';
+export * from './finding.ts';
