fix(execution): a new owner counts a wave's duration from its beginning

All nodes had been killed at 13 s; the next owner counted the wave's 26 s from its own first sight of it, so it put off VMs of busy pools until after the end. Ruled out: VMs lost from the record of what is done; it is stored. Change: the wave's row holds the store time at which the first owner saw the wave; rows of earlier versions are read, malformed ones are logged (they ended the take-over before). Measured: two unit tests that failed before.

--- a/packages/execution/src/wave-controller.ts
+++ b/packages/execution/src/wave-controller.ts
@@ -21,6 +21,8 @@
   readonly wave: Wave;
   /** Monotonic time at which this term first saw the wave, in milliseconds. */
   readonly seenAt: number;
+  /** Store time at which the first owner saw the wave, in milliseconds; undefined if not known. */
+  readonly startedAt: number | undefined;
   /** Names of the VMs whose maintenance has begun. */
   readonly done: Set<string>;
   /** State that was last reported to operators. */
@@ -28,6 +30,12 @@
   reportNotBefore: number;
 }
 
+/** Stored progress of a wave. */
+interface WaveRow {
+  readonly startedAt?: number;
+  readonly done: readonly string[];
+}
+
 enum WaveState {
   Running = 'running',
   Complete = 'complete',
@@ -54,16 +62,18 @@
 export class WaveController {
   readonly #options: WaveControllerOptions;
   readonly #waves = new Map<number, WaveProgress>();
-  readonly #doneInEarlierTerms = new Map<number, Set<string>>();
+  readonly #earlierProgress = new Map<number, WaveRow>();
 
   constructor(options: WaveControllerOptions) {
     this.#options = options;
   }
 
-  /** Loads the progress of each wave from earlier terms. */
+  /** Loads the progress of each wave from earlier terms. A malformed row is logged and skipped. */
   load(rows: readonly Row[]): void {
-    for (const row of rows) {
-      this.#doneInEarlierTerms.set(Number(row.key), new Set(JSON.parse(row.value) as string[]));
+    for (const { key, value } of rows) {
+      const progress = decodeWaveRow(value);
+      if (progress !== undefined) this.#earlierProgress.set(Number(key), progress);
+      else this.#options.context.logger.writeError('wave progress not decodable', { wave: key });
     }
   }
 
@@ -89,13 +99,26 @@
 
   #addWave(wave: Wave): void {
     if (this.#waves.has(wave.number)) return;
-    this.#waves.set(wave.number, {
+    const { context, store } = this.#options;
+    const earlier = this.#earlierProgress.get(wave.number);
+    const progress = {
       wave,
-      seenAt: this.#options.context.clock.now,
-      done: this.#doneInEarlierTerms.get(wave.number) ?? new Set(),
+      seenAt: context.clock.now,
+      startedAt: earlier?.startedAt ?? store.now,
+      done: new Set(earlier?.done),
       reported: undefined,
       reportNotBefore: 0,
-    });
+    };
+    this.#waves.set(wave.number, progress);
+    if (earlier?.startedAt === undefined) void this.#writeProgress(progress);
+  }
+
+  /** Computes the share of a wave's duration that has passed, over all terms. */
+  #computeElapsedShare({ wave, seenAt, startedAt }: WaveProgress): number {
+    const { context, store } = this.#options;
+    const elapsedInTermMs = context.clock.now - seenAt;
+    const elapsedMs = startedAt === undefined ? 0 : (store.now ?? startedAt) - startedAt;
+    return Math.max(elapsedInTermMs, elapsedMs) / (wave.durationS * MS_PER_SECOND);
   }
 
   #plan(
@@ -104,7 +127,7 @@
     getLoads: () => ReadonlyMap<string, PoolLoad>,
   ): void {
     const { context, vmController } = this.#options;
-    const { wave, done, seenAt } = progress;
+    const { wave, done } = progress;
     let freeSlots = wave.concurrency;
     for (const operation of vmController.operations) {
       if (operation.plan.kind === 'maintain' && operation.plan.wave === wave.number) freeSlots -= 1;
@@ -124,7 +147,7 @@
       due.push(this.#buildDueVm(vm, isOff, loads.get(vm.pool)));
     }
     if (freeSlots <= 0) return;
-    const elapsedShare = (context.clock.now - seenAt) / (wave.durationS * MS_PER_SECOND);
+    const elapsedShare = this.#computeElapsedShare(progress);
     for (const vm of sortDueVms(due, elapsedShare).slice(0, freeSlots)) {
       vmController.startPlan(vm.name, { kind: 'maintain', wave: wave.number });
     }
@@ -195,13 +218,27 @@
    * Writes the progress of a wave. If the write fails, a successor repeats the order, which the VM
    * service accepts as already executed.
    */
-  async #writeProgress({ wave, done }: WaveProgress): Promise<void> {
+  async #writeProgress({ wave, done, startedAt }: WaveProgress): Promise<void> {
     const { store, context } = this.#options;
     const key = String(wave.number);
-    const value = JSON.stringify([...done]);
+    const row: WaveRow = { done: [...done], ...(startedAt === undefined ? {} : { startedAt }) };
+    const value = JSON.stringify(row);
     const puts = [{ table: WAVE_TABLE, part: OWNER_PART, key, value }];
     const result = await store.commit({ conditions: [], puts, removals: [] });
     if (result.isOk()) return;
     context.logger.writeWarning('wave progress not written', { reason: result.error.message });
   }
 }
+
+/** Decodes a row; earlier versions stored only the list of VMs. Returns undefined if malformed. */
+function decodeWaveRow(value: string): WaveRow | undefined {
+  try {
+    const parsed = JSON.parse(value) as WaveRow | readonly string[] | null;
+    const row = Array.isArray(parsed) ? { done: parsed as readonly string[] } : (parsed as WaveRow);
+    const { startedAt, done } = row;
+    if (startedAt !== undefined && !Number.isFinite(startedAt)) return undefined;
+    return done.every((name) => typeof name === 'string') ? row : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/execution/test/vm-manager.test.ts
+++ b/packages/execution/test/vm-manager.test.ts
@@ -1,16 +1,18 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { AttemptPhase } from '@currantgap/jobs';
 import type { Vm, Wave } from '@currantgap/model';
 import { OWNER_PART } from '@currantgap/ownership';
 import { waitUntil } from '@currantgap/standins';
 import type { Row } from '@currantgap/store';
 import { JobLookup } from '../src/job-lookup.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
-import { RunOrders } from '../src/run-orders.ts';
+import { buildAttempt, RunOrders } from '../src/run-orders.ts';
 import { VmManager } from '../src/vm-manager.ts';
 import { VM_ORDER_TABLE } from '../src/vm-order-log.ts';
 import { flushPromises, TermHarness } from './term-harness.ts';
+import { WAVE_TABLE } from '../src/wave-controller.ts';
 import { FakeVmPort, VM } from './vm-harness.ts';
 
 /** Longer than the store and the VM service take to carry an order out. */
@@ -119,3 +121,42 @@
     manager.stop();
   });
 });
+
+// Guards the end of a wave: a new owner that counted its duration anew put the VMs of busy pools off
+// until the wave was late.
+describe('a wave that an earlier owner began', () => {
+  /** Plans the wave in a pool that is busy; returns whether a VM is being emptied. */
+  async function plan(value: string | undefined): Promise<boolean> {
+    const { harness, manager } = await createManager(3);
+    const request = { cpuMillis: 3_000, memoryMb: 1, gpus: 0 };
+    const targets = [...harness.fleet.targets];
+    for (const [index, target] of targets.entries()) {
+      const job = harness.addJob(`000000000000000${index}`, [{ request }]);
+      const task = job.openOccurrence(0).steps[0]?.tasks[0];
+      assert.ok(task);
+      harness.fleet.assign(
+        target,
+        task,
+        buildAttempt(target, 1, AttemptPhase.Running, harness.now),
+      );
+    }
+    const row = { table: WAVE_TABLE, part: OWNER_PART, key: '1', version: 1, isDeleted: false };
+    manager.load((table) =>
+      table === WAVE_TABLE && value !== undefined ? [{ ...row, value }] : [],
+    );
+    await sweep({ harness, manager, port: new FakeVmPort() });
+    manager.stop();
+    return targets.some((target) => !target.isOpen(harness.now));
+  }
+
+  it('puts off VMs of busy pools no longer than the wave, not the term, allows', async () => {
+    const startedAt = Math.round(new TermHarness().store.now) - 12_000;
+    assert.equal(await plan(JSON.stringify({ startedAt, done: [] })), true);
+    assert.equal(await plan(JSON.stringify({ startedAt: startedAt + 12_000, done: [] })), false);
+  });
+
+  it('goes on from rows of earlier versions and despite malformed ones', async () => {
+    for (const value of [undefined, '[]', '{', 'null', '{"done":3}', '{"startedAt":"x","done":[]}'])
+      assert.equal(await plan(value), false);
+  });
+});
