perf(execution): a start that is overdue is looked into after a round trip, not after 700 ms

Change: response times of starts are learned (mean and deviation as in RFC 6298, 100 to 700 ms). Answers that came while the owner was busy are read first; few are doubted at once.

--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -26,6 +26,7 @@
 import { LoadReporter } from './pool-load.ts';
 import { ROSTER_TABLE } from './target-roster.ts';
 import { VmManager } from './vm-manager.ts';
+import { StartWatch } from './start-watch.ts';
 import { TermFeeds } from './term-feeds.ts';
 import { VM_ORDER_TABLE } from './vm-order-log.ts';
 import { WAVE_TABLE, type EncodeWaveStatus } from './wave-controller.ts';
@@ -79,6 +80,7 @@
   readonly #reportReceiver: ReportReceiver;
   readonly #registry: RegistryReader;
   readonly #planner: Planner;
+  readonly #startWatch: StartWatch;
   readonly #advice: AdviceCache;
   readonly #archiver: JobArchiver;
   readonly #sweepers: readonly { sweep(): void }[];
@@ -107,6 +109,9 @@
     );
     this.#registry = new RegistryReader(this.#context, options.registry);
     this.#advice = new AdviceCache(this.#context, options.advicePort);
+    this.#startWatch = new StartWatch(this.#context, this.#orders, (target) => {
+      this.#leaseRenewer.requestReport(target);
+    });
     const quarantine = new Quarantine(this.#context.clock, (target) => {
       this.#leaseRenewer.requestReport(target);
     });
@@ -251,6 +256,7 @@
         break;
       case 'plan':
         this.#isPlanDue = false;
+        this.#startWatch.sweep();
         if (!this.#isHandingOver) this.#planner.plan();
         return;
     }
@@ -319,6 +325,7 @@
     }
     this.#context.roster.sweep();
     this.#leaseRenewer.sendDue();
+    this.#startWatch.sweep();
     if (this.#isHandingOver) return;
     this.#vmManager?.sweep();
     for (const sweeper of this.#sweepers) sweeper.sweep();
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -1,4 +1,5 @@
 import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
+import { ResponseTimes } from '@currantgap/scheduling';
 import type { OwnerContext } from './context.ts';
 import { OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
@@ -20,6 +21,10 @@
 
 /** Sends start and stop orders to targets and applies their outcomes. */
 export class RunOrders {
+  /** Response times of starts that were accepted. */
+  readonly startTimes = new ResponseTimes();
+  /** Starts without an answer, in the order in which they were sent, with their targets. */
+  readonly unansweredStarts = new Map<Assignment, TargetRecord>();
   readonly #context: OwnerContext;
 
   constructor(context: OwnerContext) {
@@ -36,6 +41,7 @@
     attempt.expiresAt = now + leaseMs / MINIMUM_CLOCK_RATE;
     const assignment = { task, attempt };
     fleet.assign(target, task, attempt);
+    this.unansweredStarts.set(assignment, target);
     const { job } = task.step;
     const order = {
       task: task.name,
@@ -95,6 +101,8 @@
     const { clock, logger } = this.#context;
     const { task, attempt } = assignment;
     const { now } = clock;
+    this.unansweredStarts.delete(assignment);
+    if (outcome === StartOutcome.Accepted) this.startTimes.record(now - attempt.startedAt);
     if (target.find(task.name, attempt.run) === undefined) return;
     attempt.expectedInReportsAfter = now;
     const { job } = task.step;
@@ -108,7 +116,9 @@
     });
     switch (outcome) {
       case StartOutcome.Accepted:
-        if (attempt.phase === AttemptPhase.Starting) attempt.phase = AttemptPhase.Running;
+        if (attempt.phase === AttemptPhase.Starting || isUnresolved(attempt)) {
+          attempt.phase = AttemptPhase.Running;
+        }
         job.hasStarted = true;
         return;
       case StartOutcome.Unknown:
@@ -188,6 +198,11 @@
   };
 }
 
+/** Whether a start is doubted and no stop was sent for it yet. */
+function isUnresolved({ phase, stopRetryAt }: Attempt): boolean {
+  return phase === AttemptPhase.Uncertain && stopRetryAt === 0;
+}
+
 /** Whether the start of a run is still unresolved although the target has answered a stop. */
 export function isUncertain({ attempt }: Assignment): boolean {
   return attempt.phase === AttemptPhase.Uncertain && attempt.stopAnsweredAt !== undefined;
--- /dev/null
+++ b/packages/execution/src/start-watch.ts
@@ -0,0 +1,66 @@
+import { AttemptPhase } from '@currantgap/jobs';
+import type { OwnerContext } from './context.ts';
+import type { RunOrders } from './run-orders.ts';
+import type { Assignment, TargetRecord } from './target-record.ts';
+
+/**
+ * Milliseconds for which an overdue answer is still waited for, so that answers that arrived while
+ * this process was busy are read first.
+ */
+const READ_MARGIN_MS = 20;
+/** Starts that are doubted in one sweep, so that a stall of this process doubts few. */
+const MAXIMUM_DOUBTS = 16;
+
+/**
+ * Watches for starts whose answers are overdue. The target is asked for a report at once, long before
+ * the call is given up: a run that it lists goes on, any other is prevented and started elsewhere.
+ */
+export class StartWatch {
+  readonly #context: OwnerContext;
+  readonly #orders: RunOrders;
+  readonly #requestReport: (target: TargetRecord) => void;
+  /** Time from which an overdue start is doubted, in milliseconds. */
+  readonly #doubtFrom = new WeakMap<Assignment, number>();
+
+  constructor(
+    context: OwnerContext,
+    orders: RunOrders,
+    requestReport: (target: TargetRecord) => void,
+  ) {
+    this.#context = context;
+    this.#orders = orders;
+    this.#requestReport = requestReport;
+  }
+
+  /** Doubts the starts that are overdue. */
+  sweep(): void {
+    const { now } = this.#context.clock;
+    const { limitMs } = this.#orders.startTimes;
+    let doubts = 0;
+    for (const [assignment, target] of this.#orders.unansweredStarts) {
+      // Starts are in the order in which they were sent.
+      if (now < assignment.attempt.startedAt + limitMs || doubts >= MAXIMUM_DOUBTS) return;
+      if (assignment.attempt.phase !== AttemptPhase.Starting) continue;
+      const doubtFrom = this.#doubtFrom.get(assignment);
+      if (doubtFrom === undefined) this.#doubtFrom.set(assignment, now + READ_MARGIN_MS);
+      else if (now >= doubtFrom) {
+        this.#checkStart(assignment, target, limitMs);
+        doubts += 1;
+      }
+    }
+  }
+
+  #checkStart({ task, attempt }: Assignment, target: TargetRecord, limitMs: number): void {
+    const { clock, logger } = this.#context;
+    attempt.phase = AttemptPhase.Uncertain;
+    logger.writeInfo('start overdue', {
+      request: task.step.job.id,
+      task: task.name,
+      run: attempt.run,
+      target: target.id,
+      elapsedMs: Math.round(clock.now - attempt.startedAt),
+      limitMs: Math.round(limitMs),
+    });
+    this.#requestReport(target);
+  }
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -6,3 +6,4 @@
 export * from './resources.ts';
 export * from './weights.ts';
 export * from './arrivals.ts';
+export * from './response-times.ts';
