feat(estimation): durations of tasks are learned as distributions

Cause: one moving ratio a route stood for all that is known of durations. It was lost with each change of owner, was dragged by a heavy tail, took a run beyond its mean as about to end, and learned from runs that were adopted half way, slowed down, or far from their data. Ruled out: a mean ratio alone gives no quantile; hdr-histogram-js has integer counts, which do not age. Change: package estimation, with aged histograms of the ratio actual/declared by route, image, shape of the step and step, each shrunk towards the wider kind and at last towards the client's estimate; lower bounds of stopped and overdue runs; rows in the owner's part, read after the jobs; the remaining critical path, pool arrivals and the drainer use it; run ended carries declared, expected and actual durations, and currantgap durations prints their errors. The test of scheduling's DurationModel moved to estimation with the same bounds (2 000 +- 50 ms after 50 runs, exactly 1 000 ms for another route).

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,6 +1,7 @@
 import { findNearest } from '@currantgap/settings';
 import { Builtins, Cli, type CommandClass } from 'clipanion';
 import * as changes from './change-commands.ts';
+import { DurationsCommand } from './durations-command.ts';
 import { EntryCommand, SettingsCheckCommand } from './entry-command.ts';
 import * as environment from './environment-commands.ts';
 import { ExitCode } from './exit-code.ts';
@@ -32,6 +33,7 @@
   NodeCommand,
   NodeCheckCommand,
   ExplainCommand,
+  DurationsCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
--- /dev/null
+++ b/packages/estimation/src/index.ts
@@ -0,0 +1,2 @@
+export * from './duration-codec.ts';
+export * from './duration-model.ts';
--- a/packages/execution/src/build-context.ts
+++ b/packages/execution/src/build-context.ts
@@ -1,11 +1,12 @@
+import { DurationModel } from '@currantgap/estimation';
 import type { Job } from '@currantgap/jobs';
 import type { Term } from '@currantgap/ownership';
-import { DurationModel } from '@currantgap/scheduling';
 import type { Store } from '@currantgap/store';
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import type { OwnerBounds, OwnerContext } from './context.ts';
 import { CrashDetector } from './crash-detector.ts';
+import { DurationRecorder } from './duration-recorder.ts';
 import { FencedWriter } from './fenced-writer.ts';
 import { Fleet } from './fleet.ts';
 import { JobIndex, type JobRecord } from './job-index.ts';
@@ -30,6 +31,8 @@
   readonly getOperatorView: () => OperatorView;
   /** Whether the ownership lease is still valid, so that no other node can have taken over. */
   readonly hasValidLease: () => boolean;
+  /** Called with the ratio of a task's actual to its expected duration, and its route. */
+  readonly observeDuration?: (route: string, ratio: number) => void;
 }
 
 /** Calls from the state of a term to its owner. */
@@ -60,6 +63,7 @@
   // Rows of the first owner have no predecessor that could have granted a lease.
   const predecessorLeaseMs = term.predecessor?.targetLeaseMs ?? 0;
   const fleet = new Fleet();
+  const durations = new DurationModel();
   const reconciliation = new Reconciliation(predecessorLeaseMs / MINIMUM_CLOCK_RATE, clock.now);
   return {
     term,
@@ -72,10 +76,17 @@
     partitionGuard: new PartitionGuard(fleet, clock, options.hasValidLease),
     jobs: new JobIndex(logger),
     active: new Map<string, JobRecord>(),
-    arrivals: new PoolArrivals(),
+    arrivals: new PoolArrivals(durations),
     ledger: new Ledger(writer, onJobEnded),
     leasePolicy: new LeasePolicy(bounds.leaseMaximumMs),
-    durations: new DurationModel(),
+    durations,
+    durationRecorder: new DurationRecorder({
+      clock,
+      fleet,
+      durations,
+      remoteFactor: bounds.remoteFactor,
+      observe: options.observeDuration,
+    }),
     reconciliation,
     roster: new TargetRoster({ writer, logger, clock, fleet, reconciliation }),
     writer,
--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -1,10 +1,11 @@
+import type { DurationModel } from '@currantgap/estimation';
 import type { Route } from '@currantgap/model';
 import type { Term } from '@currantgap/ownership';
-import type { DurationModel } from '@currantgap/scheduling';
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import type { PartitionGuard } from './partition-guard.ts';
 import type { CrashDetector } from './crash-detector.ts';
+import type { DurationRecorder } from './duration-recorder.ts';
 import type { FencedWriter } from './fenced-writer.ts';
 import type { Fleet } from './fleet.ts';
 import type { JobIndex, JobRecord } from './job-index.ts';
@@ -49,6 +50,7 @@
   readonly ledger: Ledger;
   readonly leasePolicy: LeasePolicy;
   readonly durations: DurationModel;
+  readonly durationRecorder: DurationRecorder;
   readonly reconciliation: Reconciliation;
   readonly roster: TargetRoster;
   readonly partitionGuard: PartitionGuard;
--- a/packages/execution/src/drainer.ts
+++ b/packages/execution/src/drainer.ts
@@ -37,7 +37,8 @@
     }
     if (!step.isCheckpointing) return;
     const elapsedMs = clock.now - attempt.startedAt;
-    const remainingTaskMs = durations.estimateTaskMs(task.step.job.stored.route, step) - elapsedMs;
+    const { route } = task.step.job.stored;
+    const remainingTaskMs = durations.estimateRemainingMs(route, step, elapsedMs);
     const drainingMs = clock.now - (target.drainingSince ?? clock.now);
     const remainingDrainMs = (target.entry.remainingMs ?? 0) - drainingMs;
     if (remainingTaskMs > remainingDrainMs && remainingDrainMs < bounds.stopMs * 2) {
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -9,6 +9,7 @@
 import { buildContext } from './build-context.ts';
 import type { OwnerBounds, OwnerContext } from './context.ts';
 import { Drainer } from './drainer.ts';
+import { DurationStore } from './duration-store.ts';
 import { LeaseRenewer } from './lease-renewer.ts';
 import { Intake } from './intake.ts';
 import { JobArchiver } from './job-archiver.ts';
@@ -62,6 +63,8 @@
   /** Whether the ownership lease is still valid, so that no other node can have taken over. */
   readonly hasValidLease: () => boolean;
   readonly encodeWaveStatus: EncodeWaveStatus;
+  /** Called with the ratio of a task's actual to its expected duration, and its route. */
+  readonly observeDuration?: (route: string, ratio: number) => void;
   /** Called when another node has taken over, but not after the owner was closed. */
   readonly onDeposed: (reason: string) => void;
 }
@@ -81,6 +84,7 @@
   readonly #planner: Planner;
   readonly #advice: AdviceCache;
   readonly #archiver: JobArchiver;
+  readonly #durationStore: DurationStore;
   readonly #sweepers: readonly { sweep(): void }[];
   readonly #vmManager: VmManager | undefined;
   readonly #intake: Intake;
@@ -111,6 +115,7 @@
       this.#leaseRenewer.requestReport(target);
     });
     this.#planner = new Planner(this.#context, this.#orders, this.#advice, quarantine);
+    this.#durationStore = new DurationStore(this.#context, options.store, options.pageSizer);
     this.#sweepers = [
       this.#advice,
       new Drainer(this.#context, this.#orders),
@@ -121,6 +126,8 @@
       this.#archiver,
       new JobPurger(this.#context, options.store, options.pageSizer),
       new LoadReporter(this.#context),
+      this.#context.durationRecorder,
+      this.#durationStore,
     ];
     this.#intake = new Intake({
       context: this.#context,
@@ -169,6 +176,7 @@
     this.#isClosed = true;
     clearInterval(this.#ticker);
     this.#feeds.close();
+    this.#durationStore.stop();
     this.#context.writer.stop();
     this.#vmManager?.stop();
     this.stop();
@@ -303,6 +311,7 @@
     this.#hasLoadedJobs = true;
     this.#context.logger.writeInfo('jobs read', { active: this.#context.active.size });
     this.#feeds.recordJobsLoaded();
+    void this.#durationStore.load();
   }
 
   #sweep(): void {
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -142,7 +142,9 @@
       priority: route?.priority ?? 0,
       timeToObjectiveMs: objectiveMs - elapsedMs,
       timeToLateLimitMs: LATE_LIMIT_FACTOR * objectiveMs - elapsedMs,
-      remainingMs: computeRemainingCriticalPathMs(step.occurrence, clock.now, estimateTaskMs),
+      remainingMs: computeRemainingCriticalPathMs(step.occurrence, clock.now, (definition, runMs) =>
+        durations.estimateRemainingMs(job.stored.route, definition, runMs),
+      ),
       isWithinWeight: record.isWithinWeight,
       hasStarted: job.hasStarted,
       acceptedAt: record.arrivedAt,
--- a/packages/execution/src/pool-arrivals.ts
+++ b/packages/execution/src/pool-arrivals.ts
@@ -1,17 +1,23 @@
+import type { DurationModel } from '@currantgap/estimation';
 import type { Job } from '@currantgap/jobs';
 import { ArrivalMeter, type ArrivalLoad } from '@currantgap/scheduling';
 
 /** Measures the arrival rate of work for each pool. */
 export class PoolArrivals {
+  readonly #durations: DurationModel;
   readonly #meters = new Map<string, ArrivalMeter>();
 
+  constructor(durations: DurationModel) {
+    this.#durations = durations;
+  }
+
   /** Records a submission for a service; persistent and scheduled jobs do not count as arrivals. */
   record(service: string, job: Job, now: number): void {
     if (job.isPersistent || job.isScheduled) return;
     let cpuWork = 0;
     let memoryWork = 0;
     for (const step of job.stored.submission.steps) {
-      const taskMs = step.count * step.estimatedMs;
+      const taskMs = step.count * this.#durations.estimateTaskMs(job.stored.route, step);
       cpuWork += taskMs * step.request.cpuMillis;
       memoryWork += taskMs * step.request.memoryMb;
     }
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -6,6 +6,7 @@
   type TaskRun,
 } from '@currantgap/jobs';
 import { EndKind } from '@currantgap/model';
+import type { LogContext } from '@currantgap/telemetry';
 import { getMaximumAttempts, getWallNow, type OwnerContext } from './context.ts';
 import { parseTaskName } from './job-index.ts';
 import type { JobLookup } from './job-lookup.ts';
@@ -188,6 +189,7 @@
     const route = active.get(job.id)?.route;
     const maximumAttempts = getMaximumAttempts(route);
     const effect = job.applyRunEnd(task, ended.run, ended.kind, maximumAttempts);
+    const durations = this.#recordStatistics(target, task, assignment, ended.kind, effect);
     logger.writeInfo('run ended', {
       request: job.id,
       task: task.name,
@@ -195,8 +197,8 @@
       target: target.id,
       how: ended.kind,
       effect,
+      ...durations,
     });
-    this.#recordStatistics(target, task, assignment, ended.kind);
     if (effect !== EndEffect.None && effect !== EndEffect.Retry) this.#stopUnneeded(task, effect);
     if (effect === EndEffect.None) return 0;
     const shouldPersist =
@@ -217,25 +219,23 @@
     return ledger.add(job);
   }
 
-  /** Updates the target's health and the duration model with an ended run. */
+  /** Updates the target's health and what is expected of durations; returns fields for the log. */
   #recordStatistics(
     target: TargetRecord,
     task: TaskRun,
     assignment: Assignment | undefined,
     kind: EndKind,
-  ): void {
-    const { clock, durations } = this.#context;
+    effect: EndEffect,
+  ): LogContext {
+    const { clock, durationRecorder } = this.#context;
     const step = task.step.definition;
     const { job } = task.step;
     if (kind === EndKind.Failed) {
       task.failedOn.add(target.id);
       if (!step.isPersistent) target.health.recordFailure(job.id, clock.now);
     }
-    if (kind !== EndKind.Done || assignment === undefined) return;
-    const elapsed = clock.now - assignment.attempt.startedAt;
-    const expected = durations.estimateTaskMs(job.stored.route, step);
-    target.health.recordSuccess(elapsed / expected);
-    durations.record(job.stored.route, step, elapsed);
+    if (assignment === undefined) return {};
+    return durationRecorder.recordEnd(target, assignment, kind, effect);
   }
 
   /** Stops the other runs of a task that is done, or all runs of a job that has failed. */
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -34,6 +34,7 @@
     const deadline = target.grantLease(leaseMs, now);
     const attempt = buildAttempt(target, run, AttemptPhase.Starting, now);
     attempt.expiresAt = now + leaseMs / MINIMUM_CLOCK_RATE;
+    attempt.isWhole = task.checkpoint === '';
     const assignment = { task, attempt };
     fleet.assign(target, task, attempt);
     const { job } = task.step;
@@ -177,6 +178,7 @@
     phase,
     startedAt: now,
     expiresAt: now,
+    isWhole: false,
     percent: 0,
     readyNotBefore: 0,
     isListed: false,
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -1,3 +1,4 @@
+import { DurationModel } from '@currantgap/estimation';
 import { STEP_DEFAULTS, type Job } from '@currantgap/jobs';
 import {
   TargetState,
@@ -11,7 +12,6 @@
   type Wave,
 } from '@currantgap/model';
 import { FENCE_ROW, type LeaseRow, type Term } from '@currantgap/ownership';
-import { DurationModel } from '@currantgap/scheduling';
 import { MemoryStore } from '@currantgap/standins';
 import { VirtualClock } from '@currantgap/tasks';
 import { Logger, setLogSink } from '@currantgap/telemetry';
@@ -19,6 +19,7 @@
 import type { OwnerContext } from '../src/context.ts';
 import { PartitionGuard } from '../src/partition-guard.ts';
 import { CrashDetector } from '../src/crash-detector.ts';
+import { DurationRecorder } from '../src/duration-recorder.ts';
 import { FencedWriter } from '../src/fenced-writer.ts';
 import { Fleet } from '../src/fleet.ts';
 import { getIntakePart, INTAKE_TABLE } from '../src/intake-tables.ts';
@@ -184,6 +185,7 @@
     };
     const logger = new Logger();
     const { store, clock, fleet } = this;
+    const durations = new DurationModel();
     const reconciliation = new Reconciliation(LEASE_MS, clock.now);
     const writer = new FencedWriter({
       store,
@@ -209,11 +211,12 @@
       partitionGuard: new PartitionGuard(this.fleet, this.clock, () => this.hasValidLease),
       jobs: new JobIndex(logger),
       active: new Map<string, JobRecord>(),
-      arrivals: new PoolArrivals(),
+      arrivals: new PoolArrivals(durations),
       writer,
       leasePolicy: new LeasePolicy(LEASE_MS),
       ledger: new Ledger(writer, (job) => this.endedJobs.push(job)),
-      durations: new DurationModel(),
+      durations,
+      durationRecorder: new DurationRecorder({ clock, fleet, durations, remoteFactor: 2 }),
       reconciliation,
       roster: new TargetRoster({ writer, logger, clock, fleet, reconciliation }),
       getOperatorView: () => ({
--- a/packages/jobs/src/critical-path.ts
+++ b/packages/jobs/src/critical-path.ts
@@ -20,11 +20,12 @@
 /**
  * Computes the length of the remaining critical path of an occurrence in milliseconds: steps that
  * are done count 0, and a task in flight counts only its expected remaining time.
+ * `estimateRemainingMs` returns that of a task of a step that has run for `elapsedMs`.
  */
 export function computeRemainingCriticalPathMs(
   occurrence: Occurrence,
   now: number,
-  estimateTaskMs: (step: Step) => number,
+  estimateRemainingMs: (step: Step, elapsedMs: number) => number,
 ): number {
   const endsMs: number[] = [];
   for (const step of occurrence.steps) {
@@ -33,12 +34,12 @@
       endsMs.push(startMs);
       continue;
     }
-    const expectedMs = estimateTaskMs(step.definition);
     let remainingMs = 0;
     for (const task of step.tasks) {
       if (task.isDone) continue;
       const startedAt = task.attempts[0]?.startedAt ?? now;
-      remainingMs = Math.max(remainingMs, expectedMs - (now - startedAt));
+      const elapsedMs = Math.max(0, now - startedAt);
+      remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, elapsedMs));
     }
     endsMs.push(startMs + remainingMs);
   }
--- a/packages/jobs/test/job.test.ts
+++ b/packages/jobs/test/job.test.ts
@@ -3,6 +3,7 @@
 import {
   applyLedgerRow,
   computeCriticalPathMs,
+  computeRemainingCriticalPathMs,
   decodeStoredJob,
   STEP_DEFAULTS,
   encodeLedgerRow,
@@ -189,3 +190,20 @@
     );
   });
 });
+
+describe('computeRemainingCriticalPathMs', () => {
+  it('counts what remains of active tasks, also of those beyond their mean, and all of later steps', () => {
+    const job = new Job(createStored([{}, { after: [0], estimatedMs: 500 }]));
+    const occurrence = job.openOccurrence(0);
+    const [task] = occurrence.steps[0]?.tasks ?? [];
+    assert.ok(task);
+    const estimate = (step: Step, elapsedMs: number): number =>
+      elapsedMs > 800 ? 300 : step.estimatedMs - elapsedMs;
+    assert.equal(computeRemainingCriticalPathMs(occurrence, 1_000, estimate), 1_300);
+    for (const member of occurrence.steps[0]?.tasks ?? []) {
+      member.attempts.push({ startedAt: 1_000 } as TaskRun['attempts'][number]);
+    }
+    assert.equal(computeRemainingCriticalPathMs(occurrence, 1_600, estimate), 700);
+    assert.equal(computeRemainingCriticalPathMs(occurrence, 9_000, estimate), 800);
+  });
+});
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -2,6 +2,8 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+/** Ratios of actual to expected durations. */
+const RATIO_BUCKETS = [0.25, 0.5, 0.7, 0.85, 1, 1.2, 1.4, 2, 3, 4, 8];
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Prometheus metrics of one node. */
@@ -35,6 +37,14 @@
     registers: [this.registry],
   });
 
+  readonly durationRatio = new Histogram({
+    name: 'currantgap_task_duration_ratio',
+    help: 'Ratio of the actual to the expected duration of tasks by route',
+    labelNames: ['route'],
+    buckets: RATIO_BUCKETS,
+    registers: [this.registry],
+  });
+
   observe(method: string, route: string, team: string, status: number, durationMs: number): void {
     this.calls.inc({ method, route, team, status });
     this.callSeconds.observe({ route, team }, durationMs / MILLISECONDS_PER_SECOND);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -200,6 +200,9 @@
         table: STATUS_TABLE,
         ...encodeWaveStatus(wave, isComplete),
       }),
+      observeDuration: (route, ratio) => {
+        this.#metrics.durationRatio.observe({ route }, ratio);
+      },
       onDeposed: (reason) => {
         if (this.#isStopping) this.#closeOwner();
         else this.#ownership.endTerm(reason);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,4 +1,3 @@
-export * from './durations.ts';
 export * from './health.ts';
 export * from './order.ts';
 export * from './pacing.ts';
--- a/packages/scheduling/test/decisions.test.ts
+++ b/packages/scheduling/test/decisions.test.ts
@@ -7,7 +7,6 @@
   chooseTarget,
   compareUrgency,
   decidePace,
-  DurationModel,
   isWithinCap,
   TargetHealth,
   WeightMeter,
@@ -151,15 +150,6 @@
   });
 });
 
-describe('DurationModel', () => {
-  it('learns the ratio of durations to estimates per route', () => {
-    const durations = new DurationModel();
-    for (let run = 0; run < 50; run += 1) durations.record('checks', STEP, 2_000);
-    assert.ok(Math.abs(durations.estimateTaskMs('checks', STEP) - 2_000) < 50);
-    assert.equal(durations.estimateTaskMs('other', STEP), 1_000);
-  });
-});
-
 describe('ArrivalMeter', () => {
   it('shows the load of a burst before the queue is long', () => {
     const meter = new ArrivalMeter();
--- a/tools/layers.js
+++ b/tools/layers.js
@@ -1,7 +1,7 @@
 /** Packages from the lowest to the highest layer: a package may import only from lower layers. */
 export const layers = [
   ['model'],
-  ['tasks', 'settings', 'store', 'scheduling'],
+  ['tasks', 'settings', 'store', 'scheduling', 'estimation'],
   ['telemetry', 'environment', 'sharing', 'routing', 'jobs'],
   ['allowance', 'platform', 'peer', 'ownership', 'fleet'],
   ['membership', 'execution'],
