--- a/packages/estimation/src/aged-histogram.ts
+++ b/packages/estimation/src/aged-histogram.ts
@@ -64,7 +64,9 @@
 
   #forget(weight: number): void {
     const factor = 0.5 ** (weight / HALF_LIFE);
-    for (const [point, value] of this.#weights.entries()) this.#weights[point] = value * factor;
+    for (let point = 0; point < POINT_COUNT; point += 1) {
+      this.#weights[point] = (this.#weights[point] ?? 0) * factor;
+    }
     this.#total *= factor;
     this.#receivedWeight += weight;
   }
--- a/packages/estimation/src/distribution.ts
+++ b/packages/estimation/src/distribution.ts
@@ -31,10 +31,16 @@
   constructor(weights: Float64Array) {
     let total = 0;
     for (const weight of weights) total += weight;
-    this.masses = weights.map((weight) => weight / total);
-    for (const [point, mass] of this.masses.entries()) {
-      this.#below[point + 1] = (this.#below[point] ?? 0) + mass;
-      this.#sumBelow[point + 1] = (this.#sumBelow[point] ?? 0) + mass * (POINT_RATIOS[point] ?? 0);
+    this.masses = new Float64Array(POINT_COUNT);
+    let below = 0;
+    let sumBelow = 0;
+    for (let point = 0; point < POINT_COUNT; point += 1) {
+      const mass = (weights[point] ?? 0) / total;
+      this.masses[point] = mass;
+      below += mass;
+      sumBelow += mass * (POINT_RATIOS[point] ?? 0);
+      this.#below[point + 1] = below;
+      this.#sumBelow[point + 1] = sumBelow;
     }
   }
 
--- a/packages/estimation/src/task-kind.ts
+++ b/packages/estimation/src/task-kind.ts
@@ -1,9 +1,12 @@
 import { AgedHistogram, type BoundReceipt } from './aged-histogram.ts';
 import { Distribution } from './distribution.ts';
 import { PRIOR } from './prior.ts';
+import { POINT_COUNT } from './ratio-grid.ts';
 
 /** Weight of observations at which they count as much as what is expected of the wider kind. */
 const SHRINKAGE_WEIGHT = 4;
+/** Part of the observed weight that must be new before the distribution is computed again. */
+const REFRESH_PART = 0.1;
 /** Probability of exceeding a lower bound above which the bound tells nothing. */
 const UNINFORMATIVE_PROBABILITY = 0.9;
 /** Quantile by which changes of the spread are measured. */
@@ -25,8 +28,8 @@
   readonly path: readonly string[];
   readonly histogram = new AgedHistogram();
   readonly #parent: TaskKind | undefined;
-  #revision = 0;
-  #computedRevision = -1;
+  /** Weight of what was recorded since the distribution was computed. */
+  #newWeight = 0;
   #parentDistribution: Distribution | undefined;
   #distribution: Distribution = PRIOR;
   #stored: Distribution = PRIOR;
@@ -44,15 +47,17 @@
   /** Distribution expected of the next task. */
   get distribution(): Distribution {
     const parent = this.#parent?.distribution ?? PRIOR;
-    if (this.histogram.total === 0) return parent;
-    if (this.#computedRevision !== this.#revision || this.#parentDistribution !== parent) {
-      this.#computedRevision = this.#revision;
-      this.#parentDistribution = parent;
-      const { weights } = this.histogram;
-      this.#distribution = new Distribution(
-        parent.masses.map((mass, point) => SHRINKAGE_WEIGHT * mass + (weights[point] ?? 0)),
-      );
+    const { total, weights } = this.histogram;
+    if (total === 0) return parent;
+    const isCurrent = this.#newWeight <= REFRESH_PART * total;
+    if (isCurrent && this.#parentDistribution === parent) return this.#distribution;
+    this.#newWeight = 0;
+    this.#parentDistribution = parent;
+    const mixed = new Float64Array(POINT_COUNT);
+    for (let point = 0; point < POINT_COUNT; point += 1) {
+      mixed[point] = SHRINKAGE_WEIGHT * (parent.masses[point] ?? 0) + (weights[point] ?? 0);
     }
+    this.#distribution = new Distribution(mixed);
     return this.#distribution;
   }
 
@@ -60,7 +65,7 @@
   record(ratio: number, weight: number): void {
     this.#parent?.record(ratio, weight);
     this.histogram.add(ratio, weight);
-    this.#revision += 1;
+    this.#newWeight += weight;
   }
 
   /** Records a lower bound of a ratio, unless nearly all tasks exceed it. */
@@ -72,13 +77,13 @@
 
   withdraw(receipt: BoundReceipt): void {
     this.histogram.withdraw(receipt);
-    this.#revision += 1;
+    this.#newWeight += receipt.weight;
   }
 
   /** Adds what an earlier process learned. */
   load(first: number, weights: readonly number[]): void {
     this.histogram.load(first, weights);
-    this.#revision += 1;
+    this.#newWeight += this.histogram.total;
   }
 
   /** Measures by how many octaves what is expected differs from what was stored last. */
@@ -102,7 +107,7 @@
   #addBound(ratio: number, weight: number, expected: Distribution): KindReceipts {
     const wider = this.#parent === undefined ? [] : this.#parent.#addBound(ratio, weight, expected);
     const receipt = this.histogram.addBound(ratio, weight, expected);
-    this.#revision += 1;
+    this.#newWeight += weight;
     return [...wider, [this, receipt]];
   }
 }
--- a/packages/jobs/src/critical-path.ts
+++ b/packages/jobs/src/critical-path.ts
@@ -35,12 +35,18 @@
       continue;
     }
     let remainingMs = 0;
+    let hasUnstarted = false;
     for (const task of step.tasks) {
+      const [attempt] = task.attempts;
       if (task.isDone) continue;
-      const startedAt = task.attempts[0]?.startedAt ?? now;
-      const elapsedMs = Math.max(0, now - startedAt);
+      if (attempt === undefined) {
+        hasUnstarted = true;
+        continue;
+      }
+      const elapsedMs = Math.max(0, now - attempt.startedAt);
       remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, elapsedMs));
     }
+    if (hasUnstarted) remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, 0));
     endsMs.push(startMs + remainingMs);
   }
   return Math.max(0, ...endsMs);
