feat(execution): the expectation at the start of a run is what its end is measured by

Cause: run ended carried the expectation at the end, which had already learned from the ends of the step's other tasks, so that it flattered the estimate. Ruled out: a flag in the attempt, which the packages that build attempts would have to set. Change: the recorder keeps what was expected at the start of each run that it may learn from; runs it did not see start, or that resumed, are not learned from and leave the target's slowness as it is.

--- a/packages/estimation/test/duration-model.test.ts
+++ b/packages/estimation/test/duration-model.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { DurationModel } from '@currantgap/estimation';
+import { STEP_DEFAULTS } from '@currantgap/jobs';
 import type { Step } from '@currantgap/model';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 
@@ -32,25 +33,8 @@
 
 /** Creates the step of a new submission. */
 function createStep(changes: Partial<Step> = {}): Step {
-  return {
-    count: 1,
-    request: { cpuMillis: 1_000, memoryMb: 100, gpus: 0 },
-    estimatedMs: 1_000,
-    after: [],
-    isCheckpointing: false,
-    isGang: false,
-    isSameRack: false,
-    requiredLabel: undefined,
-    dataRack: undefined,
-    antiAffinity: 0,
-    allowsDuplicates: false,
-    isPersistent: false,
-    image: undefined,
-    latencyTargetMs: 0,
-    isFiller: false,
-    disruptionBudget: 0,
-    ...changes,
-  };
+  const request = { cpuMillis: 1_000, memoryMb: 100, gpus: 0 };
+  return { ...STEP_DEFAULTS, count: 1, request, estimatedMs: 1_000, ...changes };
 }
 
 /** Records runs of different submissions. */
--- a/packages/execution/src/duration-recorder.ts
+++ b/packages/execution/src/duration-recorder.ts
@@ -29,10 +29,14 @@
   readonly observe?: ((route: string, ratio: number) => void) | undefined;
 }
 
-/** Lower bound recorded for an active run. */
-interface ActiveBound {
-  readonly elapsedMs: number;
-  readonly bound: RecordedBound;
+/** A run that began in this term and not at a checkpoint, so that its duration is the task's. */
+interface WholeRun {
+  /** Duration in milliseconds that was expected at the start. */
+  readonly expectedMs: number;
+  /** Lower bound that was recorded for the run. */
+  bound?: RecordedBound;
+  /** Milliseconds for which the run had lasted at the lower bound. */
+  boundAtMs: number;
 }
 
 /**
@@ -41,13 +45,21 @@
  */
 export class DurationRecorder {
   readonly #options: DurationRecorderOptions;
-  readonly #bounds = new WeakMap<Attempt, ActiveBound>();
+  readonly #runs = new WeakMap<Attempt, WholeRun>();
   #checkNotBefore = 0;
 
   constructor(options: DurationRecorderOptions) {
     this.#options = options;
   }
 
+  /** Records the start of a run; runs that were not recorded so are not learned from. */
+  recordStart({ attempt, task }: Assignment): void {
+    const { definition, job } = task.step;
+    if (definition.isPersistent || task.checkpoint !== '') return;
+    const expectedMs = this.#options.durations.estimateTaskMs(job.stored.route, definition);
+    this.#runs.set(attempt, { expectedMs, boundAtMs: 0 });
+  }
+
   /**
    * Records the end of an assigned run in the model and in the target's health. Returns the durations
    * for the log if the run shows how long the task takes.
@@ -65,23 +77,22 @@
     const { definition, job } = task.step;
     const { route } = job.stored;
     const actualMs = this.#computeElapsedMs(assignment);
-    const expectedMs = durations.estimateTaskMs(route, definition);
-    const remoteFactor = this.#getRemoteFactor(target, assignment);
-    const isMeasured = attempt.isWhole && effect !== EndEffect.None && !definition.isPersistent;
-    if (isMeasured && attempt.pace === FULL_PACE) {
-      const replaces = this.#bounds.get(attempt)?.bound;
-      const ownMs = actualMs / (remoteFactor * this.#computeRelativeSlowness(target));
-      durations.record(route, definition, ownMs, { replaces });
+    const usualMs =
+      durations.estimateTaskMs(route, definition) * this.#getRemoteFactor(target, assignment);
+    const run = this.#runs.get(attempt);
+    // The slowness before this end counts, which does not yet depend on it.
+    const ownMs = this.#computeOwnMs(target, assignment, actualMs);
+    // A run of unknown duration shows only that the target has not failed it.
+    target.health.recordSuccess(run === undefined ? target.slowness : actualMs / usualMs);
+    if (run === undefined || effect === EndEffect.None) return {};
+    if (attempt.pace === FULL_PACE) {
+      durations.record(route, definition, ownMs, { replaces: run.bound });
     }
-    // A run that began earlier than this term knows, or at a checkpoint, shows only that it succeeded.
-    const ratio = attempt.isWhole ? actualMs / (expectedMs * remoteFactor) : target.health.slowness;
-    target.health.recordSuccess(ratio);
-    if (!isMeasured) return {};
-    observe?.(route, actualMs / expectedMs);
+    observe?.(route, actualMs / run.expectedMs);
     return {
       route,
       declaredMs: getDeclaredMs(definition),
-      expectedMs: Math.round(expectedMs),
+      expectedMs: Math.round(run.expectedMs),
       actualMs: Math.round(actualMs),
     };
   }
@@ -99,33 +110,34 @@
   #checkActive(target: TargetRecord, assignment: Assignment): void {
     const { attempt, task } = assignment;
     const { definition, job } = task.step;
-    if (definition.isPersistent || attempt.phase !== AttemptPhase.Running) return;
-    if (!attempt.isWhole || !attempt.isListed || attempt.pace !== FULL_PACE) return;
+    const run = this.#runs.get(attempt);
+    if (run === undefined || attempt.phase !== AttemptPhase.Running) return;
+    if (!attempt.isListed || attempt.pace !== FULL_PACE) return;
     // The run is known to have lasted until the last report.
     const elapsedMs = (target.reportedAt ?? 0) - attempt.startedAt;
-    const known = this.#bounds.get(attempt);
-    if (known !== undefined && elapsedMs < BOUND_GROWTH * known.elapsedMs) return;
+    if (elapsedMs < BOUND_GROWTH * run.boundAtMs) return;
     const { durations } = this.#options;
     const { route } = job.stored;
     const overdueMs = durations.estimateQuantileMs(route, definition, OVERDUE_PART);
     if (elapsedMs <= overdueMs) return;
     const ownMs = this.#computeOwnMs(target, assignment, elapsedMs);
-    if (ownMs > overdueMs) this.#recordBound(assignment, elapsedMs, ownMs);
+    if (ownMs <= overdueMs) return;
+    this.#recordBound(assignment, run, ownMs);
+    run.boundAtMs = elapsedMs;
   }
 
   #recordStopped(target: TargetRecord, assignment: Assignment): void {
-    const { isWhole, pace } = assignment.attempt;
-    if (!isWhole || pace !== FULL_PACE) return;
+    const run = this.#runs.get(assignment.attempt);
+    if (run === undefined || assignment.attempt.pace !== FULL_PACE) return;
     const elapsedMs = this.#computeElapsedMs(assignment);
-    this.#recordBound(assignment, elapsedMs, this.#computeOwnMs(target, assignment, elapsedMs));
+    this.#recordBound(assignment, run, this.#computeOwnMs(target, assignment, elapsedMs));
   }
 
-  #recordBound({ attempt, task }: Assignment, elapsedMs: number, ownMs: number): void {
+  #recordBound({ task }: Assignment, run: WholeRun, ownMs: number): void {
     const { definition, job } = task.step;
-    const replaces = this.#bounds.get(attempt)?.bound;
     const { route } = job.stored;
-    const bound = this.#options.durations.recordCensored(route, definition, ownMs, { replaces });
-    this.#bounds.set(attempt, { elapsedMs, bound });
+    const replaces = run.bound;
+    run.bound = this.#options.durations.recordCensored(route, definition, ownMs, { replaces });
   }
 
   #computeElapsedMs({ attempt }: Assignment): number {
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -28,15 +28,15 @@
 
   /** Assigns a task to a target and sends the start order. */
   start(task: TaskRun, target: TargetRecord, run: number, ticket?: string): void {
-    const { clock, fleet, post, targetPort, term } = this.#context;
+    const { clock, durationRecorder, fleet, post, targetPort, term } = this.#context;
     const { now } = clock;
     const leaseMs = this.#context.leasePolicy.normalMs;
     const deadline = target.grantLease(leaseMs, now);
     const attempt = buildAttempt(target, run, AttemptPhase.Starting, now);
     attempt.expiresAt = now + leaseMs / MINIMUM_CLOCK_RATE;
-    attempt.isWhole = task.checkpoint === '';
     const assignment = { task, attempt };
     fleet.assign(target, task, attempt);
+    durationRecorder.recordStart(assignment);
     const { job } = task.step;
     const order = {
       task: task.name,
@@ -178,7 +178,6 @@
     phase,
     startedAt: now,
     expiresAt: now,
-    isWhole: false,
     percent: 0,
     readyNotBefore: 0,
     isListed: false,
--- a/packages/execution/test/durations.test.ts
+++ b/packages/execution/test/durations.test.ts
@@ -7,9 +7,12 @@
 import { PageSizer } from '@currantgap/store';
 import { setLogSink } from '@currantgap/telemetry';
 import { DURATION_TABLE, DurationStore } from '../src/duration-store.ts';
-import { buildAttempt } from '../src/run-orders.ts';
+import { DurationRecorder } from '../src/duration-recorder.ts';
+import { JobLookup } from '../src/job-lookup.ts';
+import { ReportProcessor } from '../src/report-processor.ts';
+import { buildAttempt, RunOrders } from '../src/run-orders.ts';
 import type { TargetRecord } from '../src/target-record.ts';
-import { ROUTE, STEP, TermHarness } from './term-harness.ts';
+import { createEnded, createReport, ROUTE, STEP, TermHarness } from './term-harness.ts';
 
 const ROW = { table: DURATION_TABLE, part: OWNER_PART, key: ROUTE.name };
 const WRITE_PERIOD_MS = 5_000;
@@ -21,15 +24,17 @@
   harness: TermHarness,
   target: TargetRecord,
   step: Partial<Step> = {},
-  changes: Partial<Attempt> = {},
+  { isWhole = true, pace = 100, checkpoint = '' } = {},
 ): { task: TaskRun; attempt: Attempt; end: (kind?: EndKind, effect?: EndEffect) => void } {
   jobs += 1;
   const job = harness.addJob(String(jobs).padStart(16, '0'), [step]);
   const task = job.openOccurrence(0).steps[0]?.tasks[0];
   assert.ok(task);
+  task.checkpoint = checkpoint;
   const attempt = buildAttempt(target, 1, AttemptPhase.Running, harness.now);
-  Object.assign(attempt, { isWhole: true, isListed: true, ...changes });
+  Object.assign(attempt, { isListed: true, pace });
   harness.fleet.assign(target, task, attempt);
+  if (isWhole) harness.context.durationRecorder.recordStart({ task, attempt });
   return {
     task,
     attempt,
@@ -98,6 +103,7 @@
       const runs = [
         start(harness, target),
         start(harness, target, {}, { isWhole: false }),
+        start(harness, target, {}, { checkpoint: 'half' }),
         start(harness, target, { isFiller: true }, { pace: 25 }),
         start(harness, target),
       ];
@@ -105,11 +111,41 @@
       runs[0]?.end(EndKind.Failed, EndEffect.Retry);
       runs[1]?.end();
       runs[2]?.end();
-      runs[3]?.end(EndKind.Done, EndEffect.None);
+      runs[3]?.end();
+      runs[4]?.end(EndKind.Done, EndEffect.None);
     }
     assert.equal(estimate(harness), 1_000);
   });
 
+  it('puts the declared, expected and actual duration into the log line of the end', () => {
+    const harness = new TermHarness();
+    const target = harness.addTarget('t1');
+    const observed: number[] = [];
+    const { context } = harness;
+    const durationRecorder = new DurationRecorder({
+      clock: harness.clock,
+      fleet: harness.fleet,
+      durations: context.durations,
+      remoteFactor: 2,
+      observe: (_, ratio) => observed.push(ratio),
+    });
+    const parts = { ...context, durationRecorder };
+    const orders = new RunOrders(parts);
+    const processor = new ReportProcessor(parts, orders, new JobLookup(parts, harness.store));
+    const task = harness.addJob('00000000000000ff', [{}]).openOccurrence(0).steps[0]?.tasks[0];
+    assert.ok(task);
+    orders.start(task, target, 7);
+    harness.advance(1_500);
+    const lines: string[] = [];
+    setLogSink((line) => lines.push(line));
+    const ended = [createEnded(1, task.name, 7, EndKind.Done)];
+    processor.apply(target, createReport({ ended }), harness.now);
+    setLogSink(() => undefined);
+    const end = lines.find((line) => line.includes('run ended')) ?? '';
+    assert.match(end, /"route":"checks","declaredMs":1000,"expectedMs":1000,"actualMs":1500/);
+    assert.deepEqual(observed, [1.5]);
+  });
+
   it('learns from stopped runs and from active ones that go on beyond their expectation', () => {
     const harness = new TermHarness();
     const target = harness.addTarget('t1');
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -26,10 +26,6 @@
    * not list the run, it never began.
    */
   expiresAt: number;
-  /**
-   * Whether the run began in this term and without a checkpoint, so that its duration is the task's.
-   */
-  isWhole: boolean;
   /** Progress in percent; 100 for a persistent task that is in service. */
   percent: number;
   /**
