--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,6 +2,7 @@
 import { Builtins, Cli, type CommandClass } from 'clipanion';
 import * as changes from './change-commands.ts';
 import { ConfigurationCheckCommand } from './configuration-command.ts';
+import { DurationsCommand } from './durations-command.ts';
 import { EntryCommand, SettingsCheckCommand } from './entry-command.ts';
 import * as environment from './environment-commands.ts';
 import { ExitCode } from './exit-code.ts';
@@ -34,6 +35,7 @@
   NodeCheckCommand,
   ConfigurationCheckCommand,
   ExplainCommand,
+  DurationsCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
--- a/packages/execution/src/drainer.ts
+++ b/packages/execution/src/drainer.ts
@@ -43,7 +43,8 @@
     }
     if (!step.isCheckpointing || !isLeavingSoon) return;
     const elapsedMs = clock.now - attempt.startedAt;
-    const remainingTaskMs = durations.estimateTaskMs(task.step.job.stored.route, step) - elapsedMs;
+    const { route } = task.step.job.stored;
+    const remainingTaskMs = durations.estimateRemainingMs(route, step, elapsedMs);
     if (remainingTaskMs > remainingDrainMs) this.#orders.stop(assignment, 'target drains');
   }
 }
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -33,7 +33,7 @@
 
   /** Assigns a task to a target and sends the start order. */
   start(task: TaskRun, target: TargetRecord, run: number, ticket?: string): void {
-    const { clock, fleet, post, targetPort, term } = this.#context;
+    const { clock, durationRecorder, fleet, post, targetPort, term } = this.#context;
     const { now } = clock;
     const leaseMs = this.#context.leasePolicy.normalMs;
     const deadline = target.grantLease(leaseMs, now);
@@ -42,6 +42,7 @@
     const assignment = { task, attempt };
     fleet.assign(target, task, attempt);
     this.unansweredStarts.set(assignment, target);
+    durationRecorder.recordStart(assignment);
     const { job } = task.step;
     const order = {
       task: task.name,
