--- a/packages/execution/src/advice-cache.ts
+++ b/packages/execution/src/advice-cache.ts
@@ -40,8 +40,8 @@
     route: Route,
     candidates: readonly TargetRecord[],
     tasks: number,
-  ): TargetRecord[] {
-    if (route.advice === undefined) return [...candidates];
+  ): readonly TargetRecord[] {
+    if (route.advice === undefined) return candidates;
     const advice = this.#getOrCreate(step.name);
     const { now } = this.#context.clock;
     const allowed = candidates.filter(({ id }) => (advice.tickets.get(id)?.validUntil ?? 0) > now);
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -7,17 +7,19 @@
 import type { Resources } from '@currantgap/model';
 import {
   chooseTarget,
-  compareUrgency,
   getFootprint,
   hasRoom,
   isWithinCap,
+  RoomCheck,
   type PlacementRequest,
-  type OrderingCriteria,
 } from '@currantgap/scheduling';
+import type { ShareCandidate, Turn } from '@currantgap/sharing';
 import type { AdviceCache } from './advice-cache.ts';
 import { getWallNow, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
+import { PoolShares } from './pool-shares.ts';
 import type { Quarantine } from './quarantine.ts';
+import { Reservations } from './reservations.ts';
 import { takeRunNumber, type RunOrders } from './run-orders.ts';
 import type { TargetRecord } from './target-record.ts';
 import { computeUnreportedRuns } from './unreported-runs.ts';
@@ -29,18 +31,29 @@
 const UNREPORTED_PERIOD_MS = 100;
 
 /** A step with tasks that wait for targets. */
-interface ReadyStep extends OrderingCriteria {
+interface ReadyStep extends ShareCandidate {
   readonly record: JobRecord;
   readonly step: StepRun;
   readonly waiting: readonly TaskRun[];
 }
 
+/** What became of the tasks that were to be placed. */
+interface PlacementResult {
+  readonly placedCount: number;
+  /** Whether a task found no room, so that no other one of the step does. */
+  readonly isBlocked: boolean;
+}
+
+const BLOCKED: PlacementResult = { placedCount: 0, isBlocked: true };
+
 /** Places waiting tasks on targets and sends their start orders. */
 export class Planner {
   readonly #context: OwnerContext;
   readonly #orders: RunOrders;
   readonly #advice: AdviceCache;
   readonly #quarantine: Quarantine;
+  readonly #shares: PoolShares;
+  readonly #reservations: Reservations;
   /** Resources that runs on targets without a report may use, by team. */
   #unreported: ReadonlyMap<string, Resources> = new Map();
   /** Monotonic time from which `#unreported` is computed again, in milliseconds. */
@@ -56,6 +69,8 @@
     this.#orders = orders;
     this.#advice = advice;
     this.#quarantine = quarantine;
+    this.#shares = new PoolShares(context);
+    this.#reservations = new Reservations(context);
   }
 
   /** Starts the waiting tasks that can start now, most urgent steps first. */
@@ -63,10 +78,16 @@
     if (this.#context.partitionGuard.shouldPause()) return;
     this.#refreshUnreported();
     for (const [service, steps] of this.#listReadySteps()) {
-      steps.sort(compareUrgency);
       const open = this.#listOpenTargets(service);
-      for (const step of steps) this.#place(step, open);
+      const room = new RoomCheck(open);
+      const order = this.#shares.buildOrder(service, steps, open);
+      for (let turn = order.take(); turn !== undefined; turn = order.take()) {
+        const { placedCount, isBlocked } = this.#place(turn, open, room);
+        order.record(placedCount, isBlocked);
+      }
     }
+    this.#reservations.settle();
+    this.#shares.sweep();
   }
 
   /** Computes anew, once in a while, what may run unreported: it only shrinks during a term. */
@@ -145,29 +166,49 @@
       remainingMs: computeRemainingCriticalPathMs(step.occurrence, clock.now, estimateTaskMs),
       isWithinWeight: record.isWithinWeight,
       hasStarted: job.hasStarted,
+      team: job.stored.team,
+      footprint: getFootprint(step.definition),
+      isGang: step.definition.isGang,
       acceptedAt: record.arrivedAt,
     };
   }
 
-  #place(ready: ReadyStep, pool: readonly TargetRecord[]): void {
-    const { step, waiting, record } = ready;
-    if (pool.length === 0 || record.route === undefined) return;
-    const open = this.#advice.listAllowed(step, record.route, pool, waiting.length);
-    if (open.length === 0) return;
-    if (step.definition.isGang) {
-      this.#placeGang(step, open);
-      return;
-    }
-    const request = this.#buildRequest(step);
-    for (const task of waiting) {
-      if (!this.#isTeamWithinCap(step, step.definition.request)) return;
-      const target = this.#chooseTarget({ ...request, failedOn: task.failedOn }, task, open);
+  #place(
+    { candidate, from, to }: Turn<ReadyStep>,
+    pool: readonly TargetRecord[],
+    room: RoomCheck,
+  ): PlacementResult {
+    const { step, waiting, record, footprint } = candidate;
+    if (pool.length === 0 || record.route === undefined) return BLOCKED;
+    const { service } = record.route;
+    const advised = this.#advice.listAllowed(step, record.route, pool, waiting.length);
+    const open = this.#reservations.listAllowed(service, step, advised);
+    if (open.length === 0) return BLOCKED;
+    if (step.definition.isGang) return this.#placeGang(step, open);
+    let request: PlacementRequest | undefined;
+    let placedCount = 0;
+    for (let index = from; index < to; index += 1) {
+      const task = waiting[index];
+      if (task === undefined) break;
+      if (!this.#isTeamWithinCap(step, step.definition.request))
+        return { placedCount, isBlocked: true };
+      let target: TargetRecord | undefined;
+      if (task.isSuspect || room.hasRoom(footprint)) {
+        request ??= this.#buildRequest(step);
+        target = this.#chooseTarget({ ...request, failedOn: task.failedOn }, task, open);
+      }
       if (target === undefined && task.isSuspect) continue;
-      if (target === undefined) return;
+      if (target === undefined) {
+        this.#reservations.recordBlocked(service, candidate, advised);
+        return { placedCount, isBlocked: true };
+      }
       const ticket = this.#advice.getTicket(step, target.id);
       this.#orders.start(task, target, takeRunNumber(this.#context, task), ticket);
+      this.#reservations.recordStart(service, step, footprint, target);
+      placedCount += 1;
       if (task.isSuspect) this.#quarantine.begin(target);
     }
+    return { placedCount, isBlocked: false };
   }
 
   /** Chooses a target; one for a task that may have crashed another target runs nothing unproven. */
@@ -186,11 +227,11 @@
   }
 
   /** Starts all tasks of a gang, or none if one of them has no target. */
-  #placeGang(step: StepRun, open: readonly TargetRecord[]): void {
+  #placeGang(step: StepRun, open: readonly TargetRecord[]): PlacementResult {
     if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
-      return;
+      return BLOCKED;
     const { request, count } = step.definition;
-    if (!this.#isTeamWithinCap(step, computeProduct(request, count))) return;
+    if (!this.#isTeamWithinCap(step, computeProduct(request, count))) return BLOCKED;
     const racks = new Map<string, TargetRecord[]>();
     for (const target of open) racks.set(target.rack, [...(racks.get(target.rack) ?? []), target]);
     const groups = step.definition.isSameRack ? [...racks.values(), open] : [open];
@@ -198,7 +239,7 @@
       const targets = this.#chooseGangTargets(step, group);
       if (targets === undefined) continue;
       const [first] = step.tasks;
-      if (first === undefined) return;
+      if (first === undefined) return BLOCKED;
       const run = takeRunNumber(this.#context, first);
       const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
       for (const [index, task] of step.tasks.entries()) {
@@ -207,8 +248,9 @@
         task.checkpoint = checkpoint;
         this.#orders.start(task, target, run, this.#advice.getTicket(step, target.id));
       }
-      return;
+      return { placedCount: count, isBlocked: false };
     }
+    return BLOCKED;
   }
 
   /** Chooses a target for each task of a gang without reserving resources. */
@@ -244,7 +286,7 @@
       footprint: getFootprint(step.definition),
       remoteFactor: bounds.remoteFactor,
       stepRack,
-      countOn: (targetId) => countAttemptsOn(step, targetId),
+      countOn: (targetId) => step.countAttemptsOn(targetId),
       failedOn: new Set(),
     };
   }
@@ -261,15 +303,6 @@
   }
 }
 
-/** Counts the runs of a step on a target. */
-function countAttemptsOn(step: StepRun, targetId: string): number {
-  let count = 0;
-  for (const task of step.tasks) {
-    for (const attempt of task.attempts) if (attempt.targetId === targetId) count += 1;
-  }
-  return count;
-}
-
 function computeProduct(amount: Resources, factor: number): Resources {
   return addScaled({ cpuMillis: 0, memoryMb: 0, gpus: 0 }, amount, factor);
 }
--- /dev/null
+++ b/packages/execution/src/pool-shares.ts
@@ -0,0 +1,177 @@
+import type { Configuration, Resources } from '@currantgap/model';
+import { getFootprint, hasRoom, ResourceSum } from '@currantgap/scheduling';
+import {
+  computeTeamShares,
+  ShareOrder,
+  UrgencyOrder,
+  type PlacementOrder,
+  type ShareCandidate,
+  type TeamShare,
+  type TeamUsage,
+} from '@currantgap/sharing';
+import type { OwnerContext } from './context.ts';
+import type { TargetRecord } from './target-record.ts';
+
+/** Weight of a team that the configuration in force does not name. */
+const DEFAULT_WEIGHT = 1;
+/** Milliseconds without contention after which a pool counts as no longer contended. */
+const CALM_MS = 1_000;
+/** Most teams in a log line. */
+const LOGGED_TEAMS = 20;
+
+/** What a pass found in a contended pool. */
+interface Contention {
+  lastSeenAt: number;
+  readonly since: number;
+  usages: () => { capacity: Resources; teams: readonly TeamUsage[] };
+}
+
+/** Orders the waiting steps of each pool, by the shares of their teams while room is short. */
+export class PoolShares {
+  readonly #context: OwnerContext;
+  readonly #contended = new Map<string, Contention>();
+  #configuration: Configuration | undefined;
+  #weights: ReadonlyMap<string, number> = new Map();
+
+  constructor(context: OwnerContext) {
+    this.#context = context;
+  }
+
+  /** Builds the order for one pass over the steps of a pool, whose open targets are `open`. */
+  buildOrder<T extends ShareCandidate>(
+    service: string,
+    candidates: readonly T[],
+    open: readonly TargetRecord[],
+  ): PlacementOrder<T> {
+    if (open.length === 0 || !isContended(candidates, open)) return new UrgencyOrder(candidates);
+    const pool = this.#context.fleet.listPool(service);
+    const capacity = computeCapacity(pool);
+    const held = computeHeld(pool);
+    this.#recordContention(service, () => ({
+      capacity,
+      teams: this.#listUsages(held, candidates),
+    }));
+    const getWeight = (team: string): number => this.#getWeight(team);
+    return new ShareOrder({ capacity, held, getWeight, candidates });
+  }
+
+  /** Computes the shares of the teams in each contended pool, as the last pass found them. */
+  computeShares(): Map<string, ReadonlyMap<string, TeamShare>> {
+    const shares = new Map<string, ReadonlyMap<string, TeamShare>>();
+    for (const [service, { usages }] of this.#contended) {
+      const { capacity, teams } = usages();
+      shares.set(service, computeTeamShares(capacity, teams));
+    }
+    return shares;
+  }
+
+  /** Ends the contention of the pools that have had room for all waiting work for a while. */
+  sweep(): void {
+    const { now } = this.#context.clock;
+    for (const [service, contention] of this.#contended) {
+      if (now < contention.lastSeenAt + CALM_MS) continue;
+      this.#writeShares('pool no longer contended', service, contention);
+      this.#contended.delete(service);
+    }
+  }
+
+  #recordContention(service: string, usages: Contention['usages']): void {
+    const { now } = this.#context.clock;
+    const known = this.#contended.get(service);
+    if (known !== undefined) {
+      known.lastSeenAt = now;
+      known.usages = usages;
+      return;
+    }
+    const contention = { since: now, lastSeenAt: now, usages };
+    this.#contended.set(service, contention);
+    this.#writeShares('pool contended', service, contention);
+  }
+
+  #writeShares(message: string, service: string, { since, lastSeenAt, usages }: Contention): void {
+    const { capacity, teams } = usages();
+    const shares = [...computeTeamShares(capacity, teams)];
+    this.#context.logger.writeInfo(message, {
+      service,
+      lastedMs: Math.round(lastSeenAt - since),
+      teams: shares.length,
+      shares: shares
+        .slice(0, LOGGED_TEAMS)
+        .map(([team, { held, owed }]) => `${team} ${held.toFixed(3)}/${owed.toFixed(3)}`)
+        .join(' '),
+    });
+  }
+
+  #listUsages(
+    held: ReadonlyMap<string, ResourceSum>,
+    candidates: readonly ShareCandidate[],
+  ): TeamUsage[] {
+    const waiting = new Map<string, ResourceSum>();
+    for (const { team, footprint, waiting: tasks } of candidates)
+      addTo(waiting, team, footprint, tasks.length);
+    return [...new Set([...held.keys(), ...waiting.keys()])].map((team) => ({
+      team,
+      weight: this.#getWeight(team),
+      held: held.get(team) ?? new ResourceSum(),
+      waiting: waiting.get(team) ?? new ResourceSum(),
+    }));
+  }
+
+  #getWeight(team: string): number {
+    const { configuration } = this.#context.getOperatorView();
+    if (configuration !== this.#configuration) {
+      this.#configuration = configuration;
+      this.#weights = new Map(configuration?.teams.map(({ name, weight }) => [name, weight]));
+    }
+    return this.#weights.get(team) ?? DEFAULT_WEIGHT;
+  }
+}
+
+/** Whether the waiting tasks request more of some resource than the open targets have free. */
+function isContended(
+  candidates: readonly ShareCandidate[],
+  open: readonly TargetRecord[],
+): boolean {
+  const requested = new ResourceSum();
+  for (const { footprint, waiting } of candidates) addScaled(requested, footprint, waiting.length);
+  const capacity = computeCapacity(open);
+  const used = new ResourceSum();
+  for (const target of open) used.add(target.used);
+  return !hasRoom(capacity, used, requested);
+}
+
+function computeCapacity(targets: readonly TargetRecord[]): ResourceSum {
+  const sum = new ResourceSum();
+  for (const { capacity } of targets) sum.add(capacity);
+  return sum;
+}
+
+/** Sums the resources that the runs of each team reserve on the targets. */
+function computeHeld(targets: readonly TargetRecord[]): Map<string, ResourceSum> {
+  const held = new Map<string, ResourceSum>();
+  for (const target of targets) {
+    for (const { task } of target.assignments) {
+      const { job, definition } = task.step;
+      addTo(held, job.stored.team, getFootprint(definition), 1);
+    }
+  }
+  return held;
+}
+
+function addTo(
+  sums: Map<string, ResourceSum>,
+  team: string,
+  footprint: Resources,
+  count: number,
+): void {
+  const known = sums.get(team);
+  const sum = known ?? new ResourceSum();
+  if (known === undefined) sums.set(team, sum);
+  addScaled(sum, footprint, count);
+}
+
+function addScaled(sum: ResourceSum, amount: Resources, factor: number): void {
+  sum.cpuMillis += amount.cpuMillis * factor;
+  sum.memoryMb += amount.memoryMb * factor;
+  sum.gpus += amount.gpus * factor;
+}
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -48,6 +48,15 @@
     return this.tasks.filter((task) => task.isWaiting(now));
   }
 
+  /** Counts the runs of the step on a target. */
+  countAttemptsOn(targetId: string): number {
+    let count = 0;
+    for (const task of this.tasks) {
+      for (const attempt of task.attempts) if (attempt.targetId === targetId) count += 1;
+    }
+    return count;
+  }
+
   /** Marks a task as done; in a gang, this marks all members. */
   finishTask(task: TaskRun): void {
     const finished = this.definition.isGang ? this.tasks : [task];
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -3,6 +3,8 @@
 export * from './order.ts';
 export * from './pacing.ts';
 export * from './placement.ts';
+export * from './reservation.ts';
 export * from './resources.ts';
+export * from './room-check.ts';
 export * from './weights.ts';
 export * from './arrivals.ts';
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -68,7 +68,10 @@
 }
 
 /** Whether a target may run the task, regardless of its free capacity. */
-export function isEligible(request: PlacementRequest, candidate: Candidate): boolean {
+export function isEligible(
+  request: Pick<PlacementRequest, 'step' | 'countOn'>,
+  candidate: Pick<Candidate, 'id' | 'labels'>,
+): boolean {
   const { step } = request;
   if (step.requiredLabel !== undefined && !candidate.labels.includes(step.requiredLabel)) {
     return false;
