--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -83,11 +83,15 @@
   };
 }
 
-export function createStoredJob(id: string, steps: readonly Partial<Step>[]): StoredJob {
+export function createStoredJob(
+  id: string,
+  steps: readonly Partial<Step>[],
+  team = 'kurzeme',
+): StoredJob {
   return {
     id,
     route: ROUTE.name,
-    team: 'kurzeme',
+    team,
     acceptedAt: 0,
     submission: {
       spec: 'spec',
@@ -242,8 +246,8 @@
   }
 
   /** Adds an accepted job to the index and to the active jobs. */
-  addJob(id: string, steps: readonly Partial<Step>[], isInherited = false): Job {
-    const stored = createStoredJob(id, steps);
+  addJob(id: string, steps: readonly Partial<Step>[], isInherited = false, team?: string): Job {
+    const stored = createStoredJob(id, steps, team);
     const value = JSON.stringify(stored);
     const intake = { table: INTAKE_TABLE, part: getIntakePart(id) };
     const row = { ...intake, key: id, value, version: 1, isDeleted: false };
