--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -211,6 +211,11 @@
     return records.filter(({ job }) => job.stored.route === route && !job.hasStarted).length;
   }
 
+  /** Computes the shares that the teams hold and are owed, by service; of contended pools only. */
+  computeShares(): ReturnType<Planner['computeShares']> {
+    return this.#planner.computeShares();
+  }
+
   protected handle(message: OwnerMessage): void {
     if (this.#isClosed) return;
     switch (message.kind) {
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -90,6 +90,11 @@
     this.#shares.sweep();
   }
 
+  /** Computes the shares that the teams hold and are owed, by service; of contended pools only. */
+  computeShares(): ReturnType<PoolShares['computeShares']> {
+    return this.#shares.computeShares();
+  }
+
   /** Computes anew, once in a while, what may run unreported: it only shrinks during a term. */
   #refreshUnreported(): void {
     const { now } = this.#context.clock;
--- a/packages/execution/src/pool-shares.ts
+++ b/packages/execution/src/pool-shares.ts
@@ -97,7 +97,10 @@
       teams: shares.length,
       shares: shares
         .slice(0, LOGGED_TEAMS)
-        .map(([team, { held, owed }]) => `${team} ${held.toFixed(3)}/${owed.toFixed(3)}`)
+        .map(
+          ([team, { held, owed }]) =>
+            `${team === '' ? '-' : team} ${held.toFixed(3)}/${owed.toFixed(3)}`,
+        )
         .join(' '),
     });
   }
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -1,3 +1,4 @@
+import type { Owner } from '@currantgap/execution';
 import { RequestObserver } from '@currantgap/ingress';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
@@ -35,6 +36,25 @@
     registers: [this.registry],
   });
 
+  /** Registers the gauges of what teams hold and are owed of the contended pools. */
+  registerShares(computeShares: Owner['computeShares']): void {
+    const gauge = new Gauge({
+      name: 'currantgap_pool_share',
+      help: 'Dominant share of a contended pool, held and owed, by service and team; on the owner',
+      labelNames: ['service', 'team', 'kind'],
+      registers: [this.registry],
+      collect: () => {
+        gauge.reset();
+        for (const [service, teams] of computeShares()) {
+          for (const [team, { held, owed }] of teams) {
+            gauge.set({ service, team, kind: 'held' }, held);
+            gauge.set({ service, team, kind: 'owed' }, owed);
+          }
+        }
+      },
+    });
+  }
+
   observe(method: string, route: string, team: string, status: number, durationMs: number): void {
     this.calls.inc({ method, route, team, status });
     this.callSeconds.observe({ route, team }, durationMs / MILLISECONDS_PER_SECOND);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -101,6 +101,7 @@
     this.#ownership = this.#createOwnership(settings.current);
     this.#forwarder = this.#createForwarder(settings.current);
     this.#ingress = this.#createIngress();
+    this.#metrics.registerShares(() => this.#owner?.computeShares() ?? new Map<string, never>());
   }
 
   /** Starts all listeners and contends for ownership. Rejects if an address cannot be bound. */
