--- a/packages/execution/test/full-pool.test.ts
+++ b/packages/execution/test/full-pool.test.ts
@@ -25,6 +25,10 @@
     this.#planner.plan();
   }
 
+  computeShares(): ReturnType<Planner['computeShares']> {
+    return this.#planner.computeShares();
+  }
+
   /** Replaces the planner as a change of owner does. */
   changeOwner(): void {
     this.#planner = this.#createPlanner();
@@ -86,6 +90,10 @@
       pool.plan();
       assert.equal(pool.countStarts(LARGE), 3);
       assert.equal(pool.countStarts(SMALL), 5);
+      pool.plan();
+      const shares = pool.computeShares().get('kartes');
+      assert.deepEqual(shares?.get('quiet'), { held: 0.375, owed: 0.375 });
+      assert.deepEqual(shares.get('hot'), { held: 0.625, owed: 0.625 });
     });
 
     it('is logged once when it fills and once when it has had room for a while', () => {
