feat(execution,scheduling): copies of stragglers where a step allows duplicates

Cause: steps that allow duplicates never got a second run, so one slow target, hung task or task of a heavy tail held up its whole step. Change: the planner hands pools without waiting work to a copier, which starts one copy of a run that is beyond a high quantile of its expected time, if the job keeps a limit by it that it would miss. The logic of caps, placement requests and job timing moves out of the planner, so both use it. Ruled out: copies of a task whose next failure fails the job, of suspect tasks, gangs, persistent steps and fillers; counting only one unreported run for a task that may have two.

--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -1,4 +1,5 @@
 export * from './context.ts';
+export { CopyOutcome } from './copy-log.ts';
 export * from './intake-tables.ts';
 export * from './job-index.ts';
 export { NORMAL_LEASE_MS } from './lease-policy.ts';
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -8,6 +8,7 @@
 import { JobPurger } from './job-purger.ts';
 import { buildContext } from './build-context.ts';
 import type { OwnerBounds, OwnerContext } from './context.ts';
+import type { CopyOutcome } from './copy-log.ts';
 import { Drainer } from './drainer.ts';
 import { LeaseRenewer } from './lease-renewer.ts';
 import { Intake } from './intake.ts';
@@ -62,6 +63,8 @@
   /** Whether the ownership lease is still valid, so that no other node can have taken over. */
   readonly hasValidLease: () => boolean;
   readonly encodeWaveStatus: EncodeWaveStatus;
+  /** Called for each copy of a run that starts and that ends. */
+  readonly onCopy?: (outcome: CopyOutcome) => void;
   /** Called when another node has taken over, but not after the owner was closed. */
   readonly onDeposed: (reason: string) => void;
 }
@@ -110,7 +113,13 @@
     const quarantine = new Quarantine(this.#context.clock, (target) => {
       this.#leaseRenewer.requestReport(target);
     });
-    this.#planner = new Planner(this.#context, this.#orders, this.#advice, quarantine);
+    this.#planner = new Planner(
+      this.#context,
+      this.#orders,
+      this.#advice,
+      quarantine,
+      options.onCopy,
+    );
     this.#sweepers = [
       this.#advice,
       new Drainer(this.#context, this.#orders),
--- /dev/null
+++ b/packages/execution/src/placement-requests.ts
@@ -0,0 +1,33 @@
+import type { StepRun, TaskRun } from '@currantgap/jobs';
+import { getFootprint, type PlacementRequest } from '@currantgap/scheduling';
+import type { OwnerContext } from './context.ts';
+
+/** Builds the placement request of a task. */
+export function buildPlacementRequest(context: OwnerContext, task: TaskRun): PlacementRequest {
+  return { ...buildStepRequest(context, task.step), failedOn: task.failedOn };
+}
+
+/** Builds what the placement requests of a step's tasks have in common. */
+export function buildStepRequest(
+  { bounds, fleet }: OwnerContext,
+  step: StepRun,
+): Omit<PlacementRequest, 'failedOn'> {
+  const firstAttempt = step.tasks.flatMap((task) => task.attempts)[0];
+  const stepRack = firstAttempt === undefined ? undefined : fleet.find(firstAttempt.targetId)?.rack;
+  return {
+    step: step.definition,
+    footprint: getFootprint(step.definition),
+    remoteFactor: bounds.remoteFactor,
+    stepRack,
+    countOn: (targetId) => countAttemptsOn(step, targetId),
+  };
+}
+
+/** Counts the runs of a step on a target. */
+function countAttemptsOn(step: StepRun, targetId: string): number {
+  let count = 0;
+  for (const task of step.tasks) {
+    for (const attempt of task.attempts) if (attempt.targetId === targetId) count += 1;
+  }
+  return count;
+}
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -1,32 +1,24 @@
-import {
-  computeCriticalPathMs,
-  computeRemainingCriticalPathMs,
-  type StepRun,
-  type TaskRun,
-} from '@currantgap/jobs';
+import type { StepRun, TaskRun } from '@currantgap/jobs';
 import type { Resources } from '@currantgap/model';
 import {
   chooseTarget,
   compareUrgency,
   getFootprint,
   hasRoom,
-  isWithinCap,
   type PlacementRequest,
   type OrderingCriteria,
 } from '@currantgap/scheduling';
 import type { AdviceCache } from './advice-cache.ts';
 import { getWallNow, type OwnerContext } from './context.ts';
+import type { CopyOutcome } from './copy-log.ts';
 import type { JobRecord } from './job-index.ts';
+import { computeJobTiming } from './job-timing.ts';
+import { buildPlacementRequest, buildStepRequest } from './placement-requests.ts';
 import type { Quarantine } from './quarantine.ts';
+import { RunCopier } from './run-copier.ts';
 import { takeRunNumber, type RunOrders } from './run-orders.ts';
 import type { TargetRecord } from './target-record.ts';
-import { computeUnreportedRuns } from './unreported-runs.ts';
-
-/** Multiple of the latency objective up to which a late completion still counts. */
-const LATE_LIMIT_FACTOR = 3;
-
-/** Milliseconds between computations of what targets without a report may run. */
-const UNREPORTED_PERIOD_MS = 100;
+import { TeamCaps } from './team-caps.ts';
 
 /** A step with tasks that wait for targets. */
 interface ReadyStep extends OrderingCriteria {
@@ -41,40 +33,48 @@
   readonly #orders: RunOrders;
   readonly #advice: AdviceCache;
   readonly #quarantine: Quarantine;
-  /** Resources that runs on targets without a report may use, by team. */
-  #unreported: ReadonlyMap<string, Resources> = new Map();
-  /** Monotonic time from which `#unreported` is computed again, in milliseconds. */
-  #unreportedExpiresAt = 0;
+  readonly #caps: TeamCaps;
+  readonly #copier: RunCopier;
 
   constructor(
     context: OwnerContext,
     orders: RunOrders,
     advice: AdviceCache,
     quarantine: Quarantine,
+    onCopy: (outcome: CopyOutcome) => void = () => undefined,
   ) {
     this.#context = context;
     this.#orders = orders;
     this.#advice = advice;
     this.#quarantine = quarantine;
+    this.#caps = new TeamCaps(context);
+    this.#copier = new RunCopier({
+      context,
+      orders,
+      advice,
+      quarantine,
+      caps: this.#caps,
+      onCopy,
+    });
   }
 
-  /** Starts the waiting tasks that can start now, most urgent steps first. */
+  /** Starts the waiting tasks that can start now, most urgent steps first, and copies of stragglers. */
   plan(): void {
     if (this.#context.partitionGuard.shouldPause()) return;
-    this.#refreshUnreported();
+    this.#caps.refresh();
+    const crowded = new Set<string>();
     for (const [service, steps] of this.#listReadySteps()) {
       steps.sort(compareUrgency);
       const open = this.#listOpenTargets(service);
-      for (const step of steps) this.#place(step, open);
+      for (const step of steps) {
+        this.#place(step, open);
+        const started = countStarted(step);
+        this.#copier.recordStarts(service, started);
+        if (started === step.waiting.length || crowded.has(service)) continue;
+        if (this.#caps.isWithin(step.step, step.step.definition.request)) crowded.add(service);
+      }
     }
-  }
-
-  /** Computes anew, once in a while, what may run unreported: it only shrinks during a term. */
-  #refreshUnreported(): void {
-    const { now } = this.#context.clock;
-    if (now < this.#unreportedExpiresAt) return;
-    this.#unreportedExpiresAt = now + UNREPORTED_PERIOD_MS;
-    this.#unreported = computeUnreportedRuns(this.#context);
+    this.#copier.plan({ crowded, listOpenTargets: (service) => this.#listOpenTargets(service) });
   }
 
   /** Lists the targets of a pool that accept new work now. */
@@ -126,25 +126,15 @@
     waiting: readonly TaskRun[],
     wallNow: number,
   ): ReadyStep {
-    const { clock, durations } = this.#context;
-    const { job, route } = record;
-    const estimateTaskMs = (definition: StepRun['definition']): number =>
-      durations.estimateTaskMs(job.stored.route, definition);
-    const criticalPathMs = computeCriticalPathMs(job.stored.submission.steps, estimateTaskMs);
-    const objectiveMs = (route?.stretch ?? 1) * criticalPathMs + (route?.latencyObjectiveMs ?? 0);
-    const { dueAt } = step.occurrence;
-    const elapsedMs = dueAt > 0 ? wallNow - dueAt : clock.now - record.arrivedAt;
     return {
       record,
       step,
       waiting,
       isPersistent: step.definition.isPersistent,
-      priority: route?.priority ?? 0,
-      timeToObjectiveMs: objectiveMs - elapsedMs,
-      timeToLateLimitMs: LATE_LIMIT_FACTOR * objectiveMs - elapsedMs,
-      remainingMs: computeRemainingCriticalPathMs(step.occurrence, clock.now, estimateTaskMs),
+      priority: record.route?.priority ?? 0,
+      ...computeJobTiming(this.#context, record, step, wallNow),
       isWithinWeight: record.isWithinWeight,
-      hasStarted: job.hasStarted,
+      hasStarted: record.job.hasStarted,
       acceptedAt: record.arrivedAt,
     };
   }
@@ -158,9 +148,9 @@
       this.#placeGang(step, open);
       return;
     }
-    const request = this.#buildRequest(step);
+    const request = buildStepRequest(this.#context, step);
     for (const task of waiting) {
-      if (!this.#isTeamWithinCap(step, step.definition.request)) return;
+      if (!this.#caps.isWithin(step, step.definition.request)) return;
       const target = this.#chooseTarget({ ...request, failedOn: task.failedOn }, task, open);
       if (target === undefined && task.isSuspect) continue;
       if (target === undefined) return;
@@ -190,7 +180,7 @@
     if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
       return;
     const { request, count } = step.definition;
-    if (!this.#isTeamWithinCap(step, computeProduct(request, count))) return;
+    if (!this.#caps.isWithin(step, computeProduct(request, count))) return;
     const racks = new Map<string, TargetRecord[]>();
     for (const target of open) racks.set(target.rack, [...(racks.get(target.rack) ?? []), target]);
     const groups = step.definition.isSameRack ? [...racks.values(), open] : [open];
@@ -224,7 +214,7 @@
           footprint,
         ),
       );
-      const request = { ...this.#buildRequest(step), failedOn: task.failedOn };
+      const request = buildPlacementRequest(this.#context, task);
       const countOn = (id: string): number => request.countOn(id) + (plannedCounts.get(id) ?? 0);
       const target = chooseTarget({ ...request, countOn }, candidates);
       if (target === undefined) return undefined;
@@ -233,41 +223,12 @@
     }
     return chosen;
   }
-
-  #buildRequest(step: StepRun): Omit<PlacementRequest, 'failedOn'> & { failedOn: Set<string> } {
-    const { bounds, fleet } = this.#context;
-    const firstAttempt = step.tasks.flatMap((task) => task.attempts)[0];
-    const stepRack =
-      firstAttempt === undefined ? undefined : fleet.find(firstAttempt.targetId)?.rack;
-    return {
-      step: step.definition,
-      footprint: getFootprint(step.definition),
-      remoteFactor: bounds.remoteFactor,
-      stepRack,
-      countOn: (targetId) => countAttemptsOn(step, targetId),
-      failedOn: new Set(),
-    };
-  }
-
-  /** Whether the team of a step may run more tasks that request these resources. */
-  #isTeamWithinCap(step: StepRun, request: Resources): boolean {
-    const { fleet, getOperatorView } = this.#context;
-    const { team } = step.job.stored;
-    const cap = getOperatorView().configuration?.teams.find(({ name }) => name === team)?.cap;
-    if (cap === undefined) return true;
-    const unreported = this.#unreported.get(team);
-    const added = unreported === undefined ? request : addScaled(request, unreported, 1);
-    return isWithinCap(cap, fleet.getRunning(team), added);
-  }
 }
 
-/** Counts the runs of a step on a target. */
-function countAttemptsOn(step: StepRun, targetId: string): number {
-  let count = 0;
-  for (const task of step.tasks) {
-    for (const attempt of task.attempts) if (attempt.targetId === targetId) count += 1;
-  }
-  return count;
+/** Counts the tasks of a step that were placed; those that wait for targets come after them. */
+function countStarted({ waiting }: ReadyStep): number {
+  const position = waiting.findIndex(({ isActive }) => !isActive);
+  return position < 0 ? waiting.length : position;
 }
 
 function computeProduct(amount: Resources, factor: number): Resources {
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -141,7 +141,7 @@
     attempt.isListed = true;
     attempt.percent = running.percent;
     attempt.reading = running.reading;
-    if (running.checkpoint !== '') task.checkpoint = running.checkpoint;
+    task.recordCheckpoint(running.checkpoint, attempt);
     if (attempt.phase === AttemptPhase.Starting || attempt.phase === AttemptPhase.Uncertain) {
       attempt.phase = AttemptPhase.Running;
       task.step.job.hasStarted = true;
@@ -183,7 +183,7 @@
     if (assignment !== undefined) fleet.unassign(target, assignment);
     if (task === undefined) return 0;
     const { job } = task.step;
-    if (ended.checkpoint !== '') task.checkpoint = ended.checkpoint;
+    task.recordCheckpoint(ended.checkpoint, assignment?.attempt);
     task.endedAt = now;
     const route = active.get(job.id)?.route;
     const maximumAttempts = getMaximumAttempts(route);
--- a/packages/execution/src/unreported-runs.ts
+++ b/packages/execution/src/unreported-runs.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '@currantgap/model';
-import { ResourceSum } from '@currantgap/scheduling';
+import { canHaveCopies, ResourceSum } from '@currantgap/scheduling';
 import { getWallNow, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
 
@@ -31,10 +31,13 @@
 ): void {
   if (route === undefined) return;
   for (const step of job.listRunnableSteps(wallNow)) {
-    for (const { isDone, isActive, name } of step.tasks) {
-      if (isDone || isActive) continue;
+    const runsPerTask = canHaveCopies(step.definition) ? 2 : 1;
+    for (const { isDone, attempts, name } of step.tasks) {
+      if (isDone || attempts.length >= runsPerTask) continue;
       if (reconciliation.canStartInherited(name, route.service, clock.now)) continue;
-      sum.add(step.definition.request);
+      for (let run = attempts.length; run < runsPerTask; run += 1) {
+        sum.add(step.definition.request);
+      }
     }
   }
 }
--- a/packages/jobs/src/critical-path.ts
+++ b/packages/jobs/src/critical-path.ts
@@ -17,9 +17,29 @@
   return Math.max(0, ...endsMs);
 }
 
+/**
+ * Computes the length of the longest path through the steps that depend on a step, in milliseconds;
+ * the step itself does not count.
+ */
+export function computeFollowingPathMs(
+  steps: readonly Step[],
+  index: number,
+  estimateTaskMs: (step: Step) => number,
+): number {
+  const endsMs: (number | undefined)[] = [];
+  for (const [position, step] of steps.entries()) {
+    const startsMs = step.after.flatMap((earlier) => endsMs[earlier] ?? []);
+    if (position === index) endsMs.push(0);
+    else if (startsMs.length === 0) endsMs.push(undefined);
+    else endsMs.push(Math.max(...startsMs) + estimateTaskMs(step));
+  }
+  return Math.max(0, ...endsMs.map((endMs) => endMs ?? 0));
+}
+
 /**
  * Computes the length of the remaining critical path of an occurrence in milliseconds: steps that
- * are done count 0, and a task in flight counts only its expected remaining time.
+ * are done count 0, and a task in flight counts only the expected remaining time of its oldest
+ * run.
  */
 export function computeRemainingCriticalPathMs(
   occurrence: Occurrence,
@@ -37,7 +57,7 @@
     let remainingMs = 0;
     for (const task of step.tasks) {
       if (task.isDone) continue;
-      const startedAt = task.attempts[0]?.startedAt ?? now;
+      const startedAt = Math.min(now, ...task.attempts.map((attempt) => attempt.startedAt));
       remainingMs = Math.max(remainingMs, expectedMs - (now - startedAt));
     }
     endsMs.push(startMs + remainingMs);
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -117,7 +117,10 @@
   applyRunEnd(task: TaskRun, run: number, kind: EndKind, maximumAttempts: number): EndEffect {
     if (this.isEnded || task.isDone) return EndEffect.None;
     const { isPersistent } = task.step.definition;
-    if (kind === EndKind.Done && !isPersistent) return this.#finishTask(task);
+    if (kind === EndKind.Done && !isPersistent) {
+      task.doneRun = run;
+      return this.#finishTask(task);
+    }
     if (!isFailure(kind) || isPersistent) return EndEffect.Retry;
     task.step.recordFailure(task, run);
     if (task.failures < maximumAttempts) return EndEffect.Retry;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -58,6 +58,8 @@
   readonly name: string;
   readonly attempts: Attempt[] = [];
   isDone = false;
+  /** Number of the run that was done first; 0 if none was in this term. */
+  doneRun = 0;
   /**
    * Numbers of the runs that failed. A set, since after a take-over the new owner reads ends again
    * that its predecessor has already counted.
@@ -107,6 +109,14 @@
     return this.attempts.find((attempt) => attempt.targetId === targetId && attempt.run === run);
   }
 
+  /** Takes over the checkpoint of a run, unless another run of the task has progressed further. */
+  recordCheckpoint(checkpoint: string, attempt: Attempt | undefined): void {
+    if (checkpoint === '') return;
+    const percent = attempt?.percent ?? 0;
+    const isBehind = this.attempts.some((other) => other !== attempt && other.percent > percent);
+    if (!isBehind || this.checkpoint === '') this.checkpoint = checkpoint;
+  }
+
   /** Removes a run that has ended, was lost or never began. */
   removeAttempt(attempt: Attempt): void {
     const position = this.attempts.indexOf(attempt);
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -35,6 +35,13 @@
     registers: [this.registry],
   });
 
+  readonly copies = new Counter({
+    name: 'currantgap_copies_total',
+    help: 'Copies of stragglers that this node as the owner started, and how they ended',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+
   observe(method: string, route: string, team: string, status: number, durationMs: number): void {
     this.calls.inc({ method, route, team, status });
     this.callSeconds.observe({ route, team }, durationMs / MILLISECONDS_PER_SECOND);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -200,6 +200,9 @@
         table: STATUS_TABLE,
         ...encodeWaveStatus(wave, isComplete),
       }),
+      onCopy: (outcome) => {
+        this.#metrics.copies.inc({ outcome });
+      },
       onDeposed: (reason) => {
         if (this.#isStopping) this.#closeOwner();
         else this.#ownership.endTerm(reason);
--- a/packages/scheduling/src/health.ts
+++ b/packages/scheduling/src/health.ts
@@ -28,6 +28,11 @@
     this.#slowness += SMOOTHING_FACTOR * (ratio - this.#slowness);
   }
 
+  /** Records that a copy elsewhere ended before a run here; `ratio` is what this run had taken. */
+  recordOvertaken(ratio: number): void {
+    this.#slowness += SMOOTHING_FACTOR * Math.max(0, ratio - this.#slowness);
+  }
+
   /** Records a failed run. Failures of a single job are attributed to the job, not the target. */
   recordFailure(jobId: string, now: number): void {
     if (this.#failedJobs.size < MAXIMUM_FAILED_JOBS) this.#failedJobs.add(jobId);
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,3 +1,4 @@
+export * from './copies.ts';
 export * from './durations.ts';
 export * from './health.ts';
 export * from './order.ts';
