feat(execution): a straggler is copied only when a fresh report shows how far it is

Change: the target of a straggler is asked once for a report; the rate of progress up to that report tells when the run ends. A silent target counts as hung. Ruled out: the learned quantile alone, since a step's tasks end soon after it unless the tail is heavy.

--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -25,6 +25,7 @@
 import { LossReason, ReportProcessor } from './report-processor.ts';
 import { ReportReceiver } from './report-receiver.ts';
 import { LoadReporter } from './pool-load.ts';
+import type { TargetRecord } from './target-record.ts';
 import { ROSTER_TABLE } from './target-roster.ts';
 import { VmManager } from './vm-manager.ts';
 import { TermFeeds } from './term-feeds.ts';
@@ -110,16 +111,14 @@
     );
     this.#registry = new RegistryReader(this.#context, options.registry);
     this.#advice = new AdviceCache(this.#context, options.advicePort);
-    const quarantine = new Quarantine(this.#context.clock, (target) => {
+    const requestReport = (target: TargetRecord): void => {
       this.#leaseRenewer.requestReport(target);
+    };
+    const quarantine = new Quarantine(this.#context.clock, requestReport);
+    this.#planner = new Planner(this.#context, this.#orders, this.#advice, quarantine, {
+      requestReport,
+      onCopy: options.onCopy,
     });
-    this.#planner = new Planner(
-      this.#context,
-      this.#orders,
-      this.#advice,
-      quarantine,
-      options.onCopy,
-    );
     this.#sweepers = [
       this.#advice,
       new Drainer(this.#context, this.#orders),
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -10,12 +10,11 @@
 } from '@currantgap/scheduling';
 import type { AdviceCache } from './advice-cache.ts';
 import { getWallNow, type OwnerContext } from './context.ts';
-import type { CopyOutcome } from './copy-log.ts';
 import type { JobRecord } from './job-index.ts';
 import { computeJobTiming } from './job-timing.ts';
 import { buildPlacementRequest, buildStepRequest } from './placement-requests.ts';
 import type { Quarantine } from './quarantine.ts';
-import { RunCopier } from './run-copier.ts';
+import { RunCopier, type RunCopierOptions } from './run-copier.ts';
 import { takeRunNumber, type RunOrders } from './run-orders.ts';
 import type { TargetRecord } from './target-record.ts';
 import { TeamCaps } from './team-caps.ts';
@@ -41,7 +40,7 @@
     orders: RunOrders,
     advice: AdviceCache,
     quarantine: Quarantine,
-    onCopy: (outcome: CopyOutcome) => void = () => undefined,
+    copying: Pick<RunCopierOptions, 'requestReport' | 'onCopy'>,
   ) {
     this.#context = context;
     this.#orders = orders;
@@ -54,7 +53,7 @@
       advice,
       quarantine,
       caps: this.#caps,
-      onCopy,
+      ...copying,
     });
   }
 
--- a/packages/execution/src/run-copier.ts
+++ b/packages/execution/src/run-copier.ts
@@ -10,6 +10,8 @@
   canHaveCopies,
   chooseTarget,
   CopyBudget,
+  estimateRemainingMs,
+  isProgressKnown,
   isStraggler,
   shouldCopy,
   STRAGGLER_QUANTILE,
@@ -36,6 +38,7 @@
 interface Straggler {
   readonly task: TaskRun;
   readonly attempt: Attempt;
+  readonly target: TargetRecord;
   readonly record: JobRecord;
   readonly route: Route;
   readonly progress: RunProgress;
@@ -48,8 +51,10 @@
   readonly advice: AdviceCache;
   readonly quarantine: Quarantine;
   readonly caps: TeamCaps;
+  /** Asks a target for a report before a run on it is copied. */
+  readonly requestReport: (target: TargetRecord) => void;
   /** Called for each copy that starts and that ends. */
-  readonly onCopy: (outcome: CopyOutcome) => void;
+  readonly onCopy?: ((outcome: CopyOutcome) => void) | undefined;
 }
 
 /** The pools as the planner left them. */
@@ -69,11 +74,13 @@
   readonly #options: RunCopierOptions;
   readonly #log: CopyLog;
   readonly #budgets = new Map<string, CopyBudget>();
+  /** Runs whose targets were asked how far they are. */
+  readonly #asked = new WeakSet<Attempt>();
   #searchNotBefore = 0;
 
   constructor(options: RunCopierOptions) {
     this.#options = options;
-    this.#log = new CopyLog(options.context, options.onCopy);
+    this.#log = new CopyLog(options.context, options.onCopy ?? (() => undefined));
   }
 
   /** Records that tasks of a pool were started; the budget of copies is a share of these. */
@@ -100,7 +107,7 @@
     const stragglers: Straggler[] = [];
     for (const target of this.#options.context.fleet.targets) {
       for (const assignment of target.assignments) {
-        const straggler = this.#findStraggler(assignment, crowded);
+        const straggler = this.#findStraggler(target, assignment, crowded);
         if (straggler !== undefined) stragglers.push(straggler);
       }
     }
@@ -108,6 +115,7 @@
   }
 
   #findStraggler(
+    target: TargetRecord,
     { task, attempt }: Assignment,
     crowded: ReadonlySet<string>,
   ): Straggler | undefined {
@@ -121,6 +129,8 @@
     if (record === undefined || route === undefined || crowded.has(route.service)) return undefined;
     const progress = {
       elapsedMs: clock.now - attempt.startedAt,
+      reportedMs: (target.reportedAt ?? 0) - attempt.startedAt,
+      isSilent: target.unansweredCalls > 0,
       percent: attempt.percent,
       quantileMs: durations.estimateQuantileMs(job.stored.route, definition, STRAGGLER_QUANTILE),
     };
@@ -128,7 +138,7 @@
     // A copy that fails must not fail the job while the original may still be done.
     const hasAttemptToSpare = task.failures + 1 < getMaximumAttempts(route);
     if (!record.isWithinWeight || !hasAttemptToSpare) return undefined;
-    return { task, attempt, record, route, progress };
+    return { task, attempt, target, record, route, progress };
   }
 
   #tryCopy(straggler: Straggler, pools: PlannedPools): void {
@@ -141,15 +151,15 @@
     if (budgetLeft === 0 || !this.#canStartAnother(straggler)) return;
     if (!caps.isWithin(step, step.definition.request)) return;
     const expectedMs = context.durations.estimateTaskMs(route.name, step.definition);
-    const proposal = this.#buildProposal(record, step, progress, expectedMs);
-    if (!shouldCopy(proposal)) return;
-    const original = context.fleet.find(attempt.targetId);
+    const timing = this.#computeTiming(record, step);
+    const originalMs = estimateRemainingMs(progress);
+    if (!shouldCopy({ ...timing, originalMs: Infinity, copyMs: expectedMs })) return;
     const open = pools.listOpenTargets(route.service).filter(({ id }) => id !== attempt.targetId);
     const allowed = advice.listAllowed(step, route, open, 1);
-    const target = this.#chooseTarget(task, original, allowed);
-    if (target === undefined) return;
+    const target = this.#chooseTarget(straggler, allowed);
+    if (target === undefined || !this.#isProgressKnown(straggler)) return;
     const copyMs = expectedMs * this.#computeSlowdown(step.definition, target);
-    if (!shouldCopy({ ...proposal, copyMs })) return;
+    if (!shouldCopy({ ...timing, originalMs, copyMs })) return;
     const run = takeRunNumber(context, task);
     orders.start(task, target, run, advice.getTicket(step, target.id));
     const copy = task.findAttempt(target.id, run);
@@ -166,18 +176,19 @@
       : reconciliation.canStartNew(route.service, clock.now);
   }
 
-  #buildProposal(
-    record: JobRecord,
-    step: StepRun,
-    progress: RunProgress,
-    copyMs: number,
-  ): CopyProposal {
+  /** Whether it is known how far a run is; asks its target once if not. */
+  #isProgressKnown({ attempt, target, progress }: Straggler): boolean {
+    if (isProgressKnown(progress)) return true;
+    if (!this.#asked.has(attempt)) this.#options.requestReport(target);
+    this.#asked.add(attempt);
+    return false;
+  }
+
+  #computeTiming(record: JobRecord, step: StepRun): Omit<CopyProposal, 'originalMs' | 'copyMs'> {
     const { context } = this.#options;
     const { route, submission } = record.job.stored;
     return {
-      ...progress,
       ...computeJobTiming(context, record, step, getWallNow()),
-      copyMs,
       followingMs: computeFollowingPathMs(submission.steps, step.index, (definition) =>
         context.durations.estimateTaskMs(route, definition),
       ),
@@ -186,15 +197,14 @@
 
   /** Chooses a target that is not slow, if possible on another rack, unless the data ties the task. */
   #chooseTarget(
-    task: TaskRun,
-    original: TargetRecord | undefined,
+    { task, target: original }: Straggler,
     open: readonly TargetRecord[],
   ): TargetRecord | undefined {
     const request = buildPlacementRequest(this.#options.context, task);
     const ordinary = this.#options.quarantine.listOrdinary(open);
     const healthy = ordinary.filter(({ slowness }) => slowness < SLOW_TARGET_RATIO);
     const { dataRack, isSameRack } = task.step.definition;
-    const elsewhere = healthy.filter(({ rack }) => rack !== original?.rack);
+    const elsewhere = healthy.filter(({ rack }) => rack !== original.rack);
     const isTiedToRack = dataRack !== undefined || isSameRack;
     for (const group of isTiedToRack ? [healthy, ordinary] : [elsewhere, healthy, ordinary]) {
       const target = chooseTarget(request, group);
--- a/packages/execution/test/deadly-tasks.test.ts
+++ b/packages/execution/test/deadly-tasks.test.ts
@@ -39,7 +39,9 @@
     this.#processor = new ReportProcessor(context, this.#orders, new JobLookup(context, store));
     this.#quarantine = new Quarantine(context.clock, () => undefined);
     const advice = new AdviceCache(context, undefined);
-    this.#planner = new Planner(context, this.#orders, advice, this.#quarantine);
+    this.#planner = new Planner(context, this.#orders, advice, this.#quarantine, {
+      requestReport: () => undefined,
+    });
     for (let vm = 0; vm < vms; vm += 1) this.#addTarget(`vm-${vm}`);
   }
 
--- a/packages/execution/test/planner.test.ts
+++ b/packages/execution/test/planner.test.ts
@@ -15,7 +15,8 @@
   const { context } = harness;
   const advice = new AdviceCache(context, undefined);
   const quarantine = new Quarantine(context.clock, () => undefined);
-  new Planner(context, new RunOrders(context), advice, quarantine).plan();
+  const copying = { requestReport: () => undefined };
+  new Planner(context, new RunOrders(context), advice, quarantine, copying).plan();
   return harness.targetPort.starts.map(({ task, target }) => `${task} on ${target}`);
 }
 
--- a/packages/execution/test/unreported-targets.test.ts
+++ b/packages/execution/test/unreported-targets.test.ts
@@ -152,7 +152,9 @@
     const processor = new ReportProcessor(context, setup.orders, new JobLookup(context, store));
     const quarantine = new Quarantine(context.clock, () => undefined);
     const advice = new AdviceCache(context, undefined);
-    const planner = new Planner(context, setup.orders, advice, quarantine);
+    const planner = new Planner(context, setup.orders, advice, quarantine, {
+      requestReport: () => undefined,
+    });
     return { ...setup, first, processor, planner };
   }
 
--- a/packages/scheduling/src/copies.ts
+++ b/packages/scheduling/src/copies.ts
@@ -19,14 +19,20 @@
 /** What is known about a run of a task. */
 export interface RunProgress {
   readonly elapsedMs: number;
-  /** Progress that the target reported last, 0 to 100. */
+  /** Time from the start of the run to the last report of its target. */
+  readonly reportedMs: number;
+  /** Progress at the last report, 0 to 100. */
   readonly percent: number;
+  /** Whether the target has not answered since. */
+  readonly isSilent: boolean;
   /** Duration that all but a few tasks of the step stay below. */
   readonly quantileMs: number;
 }
 
 /** What a copy of a run would change. */
-export interface CopyProposal extends RunProgress {
+export interface CopyProposal {
+  /** Time that the original is expected to take from now. */
+  readonly originalMs: number;
   /** Expected duration of the copy on its target. */
   readonly copyMs: number;
   /** Time that the steps after this one take. */
@@ -49,13 +55,20 @@
   return elapsedMs >= MINIMUM_ELAPSED_MS && elapsedMs > quantileMs;
 }
 
+/** Whether the target of a straggler has reported since the run became one, or does not answer. */
+export function isProgressKnown({ reportedMs, quantileMs, isSilent }: RunProgress): boolean {
+  return isSilent || reportedMs >= quantileMs;
+}
+
 /**
- * Estimates how many milliseconds a straggler still takes: by its rate of progress so far or, if it
- * is far beyond what is usual, as long again as it has taken.
+ * Estimates how many milliseconds a straggler still takes: by its rate of progress up to the last
+ * report or, if it is far beyond what is usual, at least as long again as it has taken. Nothing is
+ * expected of a run that has made no progress or whose target is silent.
  */
-export function estimateRemainingMs({ elapsedMs, percent, quantileMs }: RunProgress): number {
-  if (percent <= 0) return Infinity;
-  const byRateMs = (elapsedMs * Math.max(0, COMPLETE_PERCENT - percent)) / percent;
+export function estimateRemainingMs(progress: RunProgress): number {
+  const { elapsedMs, reportedMs, percent, quantileMs, isSilent } = progress;
+  if (isSilent || percent <= 0) return Infinity;
+  const byRateMs = Math.max(0, (reportedMs * COMPLETE_PERCENT) / percent - elapsedMs);
   return elapsedMs < HUNG_FACTOR * quantileMs ? byRateMs : Math.max(byRateMs, elapsedMs);
 }
 
@@ -64,13 +77,12 @@
  * the critical path, and the job would miss a limit that it keeps if the copy ends first.
  */
 export function shouldCopy(proposal: CopyProposal): boolean {
-  const originalMs = estimateRemainingMs(proposal);
-  if (proposal.copyMs >= originalMs) return false;
-  const { followingMs, remainingMs, timeToObjectiveMs, timeToLateLimitMs } = proposal;
+  const { originalMs, copyMs, followingMs, remainingMs } = proposal;
+  if (copyMs >= originalMs) return false;
   const withoutCopyMs = originalMs + followingMs;
   if (withoutCopyMs <= remainingMs) return false;
-  const withCopyMs = Math.max(proposal.copyMs + followingMs, remainingMs);
-  return [timeToObjectiveMs, timeToLateLimitMs].some(
+  const withCopyMs = Math.max(copyMs + followingMs, remainingMs);
+  return [proposal.timeToObjectiveMs, proposal.timeToLateLimitMs].some(
     (limitMs) => withoutCopyMs > limitMs && withCopyMs <= limitMs,
   );
 }
--- a/packages/spec/src/index.ts
+++ b/packages/spec/src/index.ts
@@ -1,3 +1,4 @@
+export * from './copy-spec.ts';
 export * from './explore.ts';
 export * from './freshness-spec.ts';
 export * from './permit-spec.ts';
--- a/packages/spec/src/plan.ts
+++ b/packages/spec/src/plan.ts
@@ -1,3 +1,4 @@
+import { CopyFault, CopySpecification } from './copy-spec.ts';
 import type { Specification, Step } from './explore.ts';
 import { FreshnessSpecification } from './freshness-spec.ts';
 import { FreshnessFault, type FreshnessBounds } from './freshness-state.ts';
@@ -51,6 +52,7 @@
     ...freshness.map((bounds) => createFreshnessCheck(bounds, FreshnessFault.None)),
     ...permits.map((bounds) => createPermitCheck(bounds, PermitFault.None)),
     ...Object.values(TakeoverFault).map(createTakeoverCheck),
+    ...Object.values(CopyFault).map(createCopyCheck),
     ...listSeededChecks(),
   ];
 }
@@ -85,6 +87,14 @@
   };
 }
 
+function createCopyCheck(fault: CopyFault): Check {
+  return {
+    specification: new CopySpecification(fault),
+    bounds: 'one task, two targets, two owners',
+    hasSeededFault: fault !== CopyFault.None,
+  };
+}
+
 function createPermitCheck(bounds: PermitBounds, fault: PermitFault): Check {
   return {
     specification: new PermitSpecification(bounds, fault),
