--- a/packages/cli/src/explain-command.ts
+++ b/packages/cli/src/explain-command.ts
@@ -63,6 +63,7 @@
     for (const line of timeline) {
       this.context.stdout.write(`${formatLine(line, first?.time ?? 0)}\n`);
     }
+    for (const summary of describeCopies(timeline)) this.context.stdout.write(`${summary}\n`);
     return ExitCode.Done;
   }
 }
@@ -99,6 +100,22 @@
   return [...requestLines, ...relatedLines].sort((left, right) => left.time - right.time);
 }
 
+/** Describes the tasks of which a copy ran beside the first run, because that was late. */
+export function describeCopies(timeline: readonly LogLine[]): string[] {
+  return timeline
+    .filter(({ message }) => message === 'copy started')
+    .map(({ context: { task, run, target, originalRun, originalTarget } }) => {
+      const end = timeline.find(
+        ({ message, context }) =>
+          (message === 'copy won' || message === 'copy lost') &&
+          context.task === task &&
+          context.run === run,
+      );
+      const result = end === undefined ? 'no end logged' : `${end.message}, ${end.context.reason}`;
+      return `Task ${task} ran twice by intent: run ${originalRun} on ${originalTarget} and run ${run} on ${target}; ${result}.`;
+    });
+}
+
 function formatLine({ time, message, context }: LogLine, from: number): string {
   const seconds = ((time - from) / 1_000).toFixed(3).padStart(8);
   const fields = Object.entries(context)
--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { buildTimeline, parseLines } from '../src/explain-command.ts';
+import { buildTimeline, describeCopies, parseLines } from '../src/explain-command.ts';
 
 const LOG = `
   1.2 edge-1 {"context":{"node":"n1","request":"aa","target":"t1"},"message":"start answered","time":200}
@@ -32,3 +32,19 @@
     assert.deepEqual(buildTimeline('cc', parseLines(LOG)), []);
   });
 });
+
+describe('the copies of a request', () => {
+  const START = `{"context":{"node":"n1","request":"aa","task":"aa.0.0.1","run":2,"target":"t2","originalRun":1,"originalTarget":"t1"},"message":"copy started","time":100}`;
+  const END = `{"context":{"node":"n1","request":"aa","task":"aa.0.0.1","run":2,"reason":"copy done"},"message":"copy won","time":200}`;
+
+  it('are described as run twice by intent, with the run that was done first', () => {
+    assert.deepEqual(describeCopies(buildTimeline('aa', parseLines(`${START}\n${END}`))), [
+      'Task aa.0.0.1 ran twice by intent: run 1 on t1 and run 2 on t2; copy won, copy done.',
+    ]);
+  });
+
+  it('have no result if a new owner took over before their end', () => {
+    const [line] = describeCopies(buildTimeline('aa', parseLines(START)));
+    assert.match(line ?? '', /no end logged\.$/);
+  });
+});
--- a/packages/execution/test/run-copier.test.ts
+++ b/packages/execution/test/run-copier.test.ts
@@ -1,13 +1,10 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { AttemptPhase, type TaskRun } from '@currantgap/jobs';
-import { EndKind, JobState, type Resources, type Step } from '@currantgap/model';
-import { AdviceCache } from '../src/advice-cache.ts';
+import { AttemptPhase } from '@currantgap/jobs';
+import { EndKind, JobState } from '@currantgap/model';
 import { CopyOutcome } from '../src/copy-log.ts';
 import { JobLookup } from '../src/job-lookup.ts';
-import { Planner } from '../src/planner.ts';
 import { OrderOutcome, StartOutcome } from '../src/ports.ts';
-import { Quarantine } from '../src/quarantine.ts';
 import { LossReason, ReportProcessor } from '../src/report-processor.ts';
 import { buildAttempt, RunOrders } from '../src/run-orders.ts';
 import type { TargetRecord } from '../src/target-record.ts';
@@ -20,93 +17,9 @@
   flushPromises,
   TermHarness,
 } from './term-harness.ts';
+import { CopyHarness } from './copy-harness.ts';
 
 const ID = '0000000000000001';
-const OTHER_RACK = ['a', 'r2'];
-
-/** A planner with a job that allows duplicates, whose one task runs on `t1`. */
-class CopyHarness extends TermHarness {
-  readonly outcomes: CopyOutcome[] = [];
-  readonly askedTargets: string[] = [];
-  readonly orders = new RunOrders(this.context);
-  readonly processor: ReportProcessor;
-  readonly slow: TargetRecord;
-  readonly task: TaskRun;
-  readonly #planner: Planner;
-
-  constructor(step: Partial<Step> = {}, cap?: Resources) {
-    super(cap === undefined ? {} : { cap });
-    const lookup = new JobLookup(this.context, this.store);
-    this.processor = new ReportProcessor(this.context, this.orders, lookup);
-    const quarantine = new Quarantine(this.clock, () => undefined);
-    const advice = new AdviceCache(this.context, undefined);
-    this.#planner = new Planner(this.context, this.orders, advice, quarantine, {
-      requestReport: (target) => this.askedTargets.push(target.id),
-      onCopy: (outcome) => this.outcomes.push(outcome),
-    });
-    this.advance(2_000);
-    this.slow = this.addTarget('t1');
-    const job = this.addJob(ID, [{ allowsDuplicates: true, ...step }]);
-    const task = job.openOccurrence(0).steps[0]?.tasks[0];
-    assert.ok(task);
-    this.task = task;
-    this.plan();
-    this.#answerStarts();
-  }
-
-  get starts(): string[] {
-    const { name } = this.task;
-    return this.targetPort.starts.filter(({ task }) => task === name).map(({ target }) => target);
-  }
-
-  plan(): void {
-    this.#planner.plan();
-  }
-
-  /** Lets the run fall behind: it reports little progress for its time. */
-  straggle(percent = 30): void {
-    this.advance(2_000);
-    this.report(this.slow, percent);
-  }
-
-  /** Lets a target list the task's runs on it. */
-  report(target: TargetRecord, percent: number): void {
-    const runs = this.task.attempts.filter(({ targetId }) => targetId === target.id);
-    const running = runs.map(({ run }) => ({ ...createRunning(this.task.name, run), percent }));
-    this.processor.apply(target, createReport({ running }), this.now);
-  }
-
-  /** Starts a copy on `t2`, and lets it begin. */
-  copy(): TargetRecord {
-    const other = this.addTarget('t2', { labels: OTHER_RACK });
-    this.straggle();
-    this.plan();
-    assert.deepEqual(this.starts, ['t1', 't2']);
-    this.#answerStarts();
-    return other;
-  }
-
-  /** Reports that the task's run on a target has ended. */
-  end(target: TargetRecord, kind: EndKind): void {
-    const attempt = this.task.attempts.find(({ targetId }) => targetId === target.id);
-    assert.ok(attempt);
-    const ended = [createEnded(target.appliedThrough + 1, this.task.name, attempt.run, kind)];
-    this.processor.apply(target, createReport({ ended }), this.now);
-  }
-
-  planLater(): void {
-    this.advance(200);
-    this.plan();
-  }
-
-  #answerStarts(): void {
-    for (const attempt of this.task.attempts) {
-      const target = this.fleet.find(attempt.targetId);
-      if (target === undefined || attempt.phase !== AttemptPhase.Starting) continue;
-      this.orders.applyStartOutcome(target, { task: this.task, attempt }, StartOutcome.Accepted);
-    }
-  }
-}
 
 describe('a straggler', () => {
   describe('on a slow target', () => {
@@ -229,7 +142,12 @@
     it('gets no copy', () => {
       const harness = new CopyHarness({ count: 2 });
       harness.addTarget('t2');
-      harness.straggle();
+      harness.advance(2_000);
+      const running = harness.task.step.tasks.map(({ name, attempts }) => ({
+        ...createRunning(name, attempts[0]?.run ?? 0),
+        percent: 30,
+      }));
+      harness.processor.apply(harness.slow, createReport({ running }), harness.now);
       harness.plan();
       const attempts = harness.task.step.tasks.map((task) => task.attempts.length);
       assert.deepEqual(attempts.sort(), [1, 2]);
@@ -304,6 +222,18 @@
     assert.equal(lost.task.step.job.state, JobState.Completed);
   });
 
+  it('gets no third run while two are active, nor after its copy was stopped', () => {
+    const harness = new CopyHarness();
+    const other = harness.copy();
+    harness.raiseBudget();
+    harness.report(harness.slow, 31);
+    harness.planLater();
+    harness.end(other, EndKind.Stopped);
+    harness.planLater();
+    assert.deepEqual(harness.starts, ['t1', 't2']);
+    assert.equal(harness.task.attempts.length, 1);
+  });
+
   it('may get another copy only if the first one was refused', () => {
     const harness = new CopyHarness();
     const other = harness.addTarget('t2');
@@ -314,8 +244,7 @@
     const assignment = { task: harness.task, attempt: copy };
     harness.orders.applyStartOutcome(other, assignment, StartOutcome.NoCapacity);
     harness.addTarget('t3');
-    const small = { cpuMillis: 1, memoryMb: 1, gpus: 0 };
-    harness.addJob('0000000000000002', [{ count: 11, request: small }]);
+    harness.raiseBudget();
     harness.planLater();
     assert.deepEqual(harness.outcomes, [
       CopyOutcome.Started,
