--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,4 +1,3 @@
-import { AttemptPhase } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
 import type { Term, TermReport } from '@currantgap/ownership';
 import type { PageSizer, Row, Store } from '@currantgap/store';
@@ -8,6 +7,7 @@
 import { JobPurger } from './job-purger.ts';
 import { buildContext } from './build-context.ts';
 import type { OwnerBounds, OwnerContext } from './context.ts';
+import type { CopyOutcome } from './copy-log.ts';
 import { Drainer } from './drainer.ts';
 import { DurationStore } from './duration-store.ts';
 import { LeaseRenewer } from './lease-renewer.ts';
@@ -16,15 +16,17 @@
 import { JobLookup } from './job-lookup.ts';
 import { LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
+import { RunExpiry } from './run-expiry.ts';
 import { isUncertain, RunOrders } from './run-orders.ts';
 import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
 import { StartOutcome, type AdvicePort, type TargetPort, type VmPort } from './ports.ts';
 import { Quarantine } from './quarantine.ts';
 import { RegistryReader, type Registry } from './registry-reader.ts';
-import { LossReason, ReportProcessor } from './report-processor.ts';
+import { ReportProcessor } from './report-processor.ts';
 import { ReportReceiver } from './report-receiver.ts';
 import { LoadReporter } from './pool-load.ts';
+import type { TargetRecord } from './target-record.ts';
 import { ROSTER_TABLE } from './target-roster.ts';
 import { VmManager } from './vm-manager.ts';
 import { StartWatch } from './start-watch.ts';
@@ -38,8 +40,6 @@
 const PLAN_BATCH_MS = 4;
 /** Milliseconds for which leases are extended at a hand-over. */
 const HAND_OVER_MS = 3_000;
-/** Milliseconds after the computed lease expiry at which a run counts as lost. */
-const LEASE_EXPIRY_MARGIN_MS = 100;
 
 /** Options of an owner; one owner is created for each ownership term. */
 export interface OwnerOptions {
@@ -66,6 +66,8 @@
   readonly encodeWaveStatus: EncodeWaveStatus;
   /** Called with the ratio of a task's actual to its expected duration, and its route. */
   readonly observeDuration?: (route: string, ratio: number) => void;
+  /** Called for each copy of a run that starts and that ends. */
+  readonly onCopy?: (outcome: CopyOutcome) => void;
   /** Called when another node has taken over, but not after the owner was closed. */
   readonly onDeposed: (reason: string) => void;
 }
@@ -84,6 +86,7 @@
   readonly #registry: RegistryReader;
   readonly #planner: Planner;
   readonly #startWatch: StartWatch;
+  readonly #runExpiry: RunExpiry;
   readonly #advice: AdviceCache;
   readonly #archiver: JobArchiver;
   readonly #durationStore: DurationStore;
@@ -111,16 +114,21 @@
       this.#reportProcessor,
       this.#leaseRenewer,
     );
+    this.#runExpiry = new RunExpiry(this.#context, this.#orders, this.#reportProcessor);
     this.#registry = new RegistryReader(this.#context, options.registry);
     this.#advice = new AdviceCache(this.#context, options.advicePort);
-    this.#startWatch = new StartWatch(this.#context, this.#orders, (target) => {
-      this.#leaseRenewer.recordUnanswered();
+    const requestReport = (target: TargetRecord): void => {
       this.#leaseRenewer.requestReport(target);
+    };
+    const quarantine = new Quarantine(this.#context.clock, requestReport);
+    this.#planner = new Planner(this.#context, this.#orders, this.#advice, quarantine, {
+      requestReport,
+      onCopy: options.onCopy,
     });
-    const quarantine = new Quarantine(this.#context.clock, (target) => {
+    this.#startWatch = new StartWatch(this.#context, this.#orders, (target) => {
+      this.#leaseRenewer.recordUnanswered();
       this.#leaseRenewer.requestReport(target);
     });
-    this.#planner = new Planner(this.#context, this.#orders, this.#advice, quarantine);
     this.#durationStore = new DurationStore(this.#context, options.store, options.pageSizer);
     this.#sweepers = [
       this.#advice,
@@ -327,17 +335,7 @@
   }
 
   #sweep(): void {
-    const { clock, fleet } = this.#context;
-    const { now } = clock;
-    for (const target of [...fleet.targets]) {
-      if (target.assignmentCount > 0 && now > target.leasesExpireAt + LEASE_EXPIRY_MARGIN_MS) {
-        this.#reportProcessor.recordAllLost(target, LossReason.LeasesExpired);
-      }
-      for (const { task, attempt } of target.assignments) {
-        if (attempt.phase === AttemptPhase.Stopping)
-          this.#orders.stop({ task, attempt }, 'repeated');
-      }
-    }
+    this.#runExpiry.sweep();
     this.#context.roster.sweep();
     this.#leaseRenewer.sendDue();
     this.#startWatch.sweep();
--- /dev/null
+++ b/packages/execution/src/placement-requests.ts
@@ -0,0 +1,24 @@
+import type { StepRun, TaskRun } from '@currantgap/jobs';
+import { getFootprint, type PlacementRequest } from '@currantgap/scheduling';
+import type { OwnerContext } from './context.ts';
+
+/** Builds the placement request of a task. */
+export function buildPlacementRequest(context: OwnerContext, task: TaskRun): PlacementRequest {
+  return { ...buildStepRequest(context, task.step), failedOn: task.failedOn };
+}
+
+/** Builds what the placement requests of a step's tasks have in common. */
+export function buildStepRequest(
+  { bounds, fleet }: OwnerContext,
+  step: StepRun,
+): Omit<PlacementRequest, 'failedOn'> {
+  const firstAttempt = step.tasks.flatMap((task) => task.attempts)[0];
+  const stepRack = firstAttempt === undefined ? undefined : fleet.find(firstAttempt.targetId)?.rack;
+  return {
+    step: step.definition,
+    footprint: getFootprint(step.definition),
+    remoteFactor: bounds.remoteFactor,
+    stepRack,
+    countOn: (targetId) => step.countAttemptsOn(targetId),
+  };
+}
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -1,15 +1,9 @@
-import {
-  computeCriticalPathMs,
-  computeRemainingCriticalPathMs,
-  type StepRun,
-  type TaskRun,
-} from '@currantgap/jobs';
+import type { StepRun, TaskRun } from '@currantgap/jobs';
 import type { Resources } from '@currantgap/model';
 import {
   chooseTarget,
   getFootprint,
   hasRoom,
-  isWithinCap,
   RoomCheck,
   type PlacementRequest,
 } from '@currantgap/scheduling';
@@ -17,18 +11,15 @@
 import type { AdviceCache } from './advice-cache.ts';
 import { getWallNow, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
+import { computeJobTiming } from './job-timing.ts';
+import { buildPlacementRequest, buildStepRequest } from './placement-requests.ts';
 import { PoolShares } from './pool-shares.ts';
 import type { Quarantine } from './quarantine.ts';
 import { Reservations } from './reservations.ts';
+import { RunCopier, type RunCopierOptions } from './run-copier.ts';
 import { takeRunNumber, type RunOrders } from './run-orders.ts';
 import type { TargetRecord } from './target-record.ts';
-import { computeUnreportedRuns } from './unreported-runs.ts';
-
-/** Multiple of the latency objective up to which a late completion still counts. */
-const LATE_LIMIT_FACTOR = 3;
-
-/** Milliseconds between computations of what targets without a report may run. */
-const UNREPORTED_PERIOD_MS = 100;
+import { TeamCaps } from './team-caps.ts';
 
 /** A step with tasks that wait for targets. */
 interface ReadyStep extends ShareCandidate {
@@ -54,16 +45,15 @@
   readonly #quarantine: Quarantine;
   readonly #shares: PoolShares;
   readonly #reservations: Reservations;
-  /** Resources that runs on targets without a report may use, by team. */
-  #unreported: ReadonlyMap<string, Resources> = new Map();
-  /** Monotonic time from which `#unreported` is computed again, in milliseconds. */
-  #unreportedExpiresAt = 0;
+  readonly #caps: TeamCaps;
+  readonly #copier: RunCopier;
 
   constructor(
     context: OwnerContext,
     orders: RunOrders,
     advice: AdviceCache,
     quarantine: Quarantine,
+    copying: Pick<RunCopierOptions, 'requestReport' | 'onCopy'>,
   ) {
     this.#context = context;
     this.#orders = orders;
@@ -71,12 +61,22 @@
     this.#quarantine = quarantine;
     this.#shares = new PoolShares(context);
     this.#reservations = new Reservations(context);
+    this.#caps = new TeamCaps(context);
+    this.#copier = new RunCopier({
+      context,
+      orders,
+      advice,
+      quarantine,
+      caps: this.#caps,
+      ...copying,
+    });
   }
 
-  /** Starts the waiting tasks that can start now, most urgent steps first. */
+  /** Starts the waiting tasks that can start now, most urgent steps first, and copies of stragglers. */
   plan(): void {
     if (this.#context.partitionGuard.shouldPause()) return;
-    this.#refreshUnreported();
+    this.#caps.refresh();
+    const crowded = new Set<string>();
     for (const [service, steps] of this.#listReadySteps()) {
       const open = this.#listOpenTargets(service);
       const room = new RoomCheck(open);
@@ -84,10 +84,15 @@
       for (let turn = order.take(); turn !== undefined; turn = order.take()) {
         const { placedCount, isBlocked } = this.#place(turn, open, room);
         order.record(placedCount, isBlocked);
+        this.#copier.recordStarts(service, placedCount);
+        if (!isBlocked || crowded.has(service)) continue;
+        const { step } = turn.candidate;
+        if (this.#caps.isWithin(step, step.definition.request)) crowded.add(service);
       }
     }
     this.#reservations.settle();
     this.#shares.sweep();
+    this.#copier.plan({ crowded, listOpenTargets: (service) => this.#listOpenTargets(service) });
   }
 
   /** Computes the shares that the teams hold and are owed, by service; of contended pools only. */
@@ -95,14 +100,6 @@
     return this.#shares.computeShares();
   }
 
-  /** Computes anew, once in a while, what may run unreported: it only shrinks during a term. */
-  #refreshUnreported(): void {
-    const { now } = this.#context.clock;
-    if (now < this.#unreportedExpiresAt) return;
-    this.#unreportedExpiresAt = now + UNREPORTED_PERIOD_MS;
-    this.#unreported = computeUnreportedRuns(this.#context);
-  }
-
   /** Lists the targets of a pool that accept new work now. */
   #listOpenTargets(service: string): TargetRecord[] {
     const { clock, fleet, getOperatorView } = this.#context;
@@ -152,28 +149,16 @@
     waiting: readonly TaskRun[],
     wallNow: number,
   ): ReadyStep {
-    const { clock, durations } = this.#context;
-    const { job, route } = record;
-    const estimateTaskMs = (definition: StepRun['definition']): number =>
-      durations.estimateTaskMs(job.stored.route, definition);
-    const criticalPathMs = computeCriticalPathMs(job.stored.submission.steps, estimateTaskMs);
-    const objectiveMs = (route?.stretch ?? 1) * criticalPathMs + (route?.latencyObjectiveMs ?? 0);
-    const { dueAt } = step.occurrence;
-    const elapsedMs = dueAt > 0 ? wallNow - dueAt : clock.now - record.arrivedAt;
     return {
       record,
       step,
       waiting,
       isPersistent: step.definition.isPersistent,
-      priority: route?.priority ?? 0,
-      timeToObjectiveMs: objectiveMs - elapsedMs,
-      timeToLateLimitMs: LATE_LIMIT_FACTOR * objectiveMs - elapsedMs,
-      remainingMs: computeRemainingCriticalPathMs(step.occurrence, clock.now, (definition, runMs) =>
-        durations.estimateRemainingMs(job.stored.route, definition, runMs),
-      ),
+      priority: record.route?.priority ?? 0,
+      ...computeJobTiming(this.#context, record, step, wallNow),
       isWithinWeight: record.isWithinWeight,
-      hasStarted: job.hasStarted,
-      team: job.stored.team,
+      hasStarted: record.job.hasStarted,
+      team: record.job.stored.team,
       footprint: getFootprint(step.definition),
       isGang: step.definition.isGang,
       acceptedAt: record.arrivedAt,
@@ -192,16 +177,16 @@
     const open = this.#reservations.listAllowed(service, step, advised);
     if (open.length === 0) return BLOCKED;
     if (step.definition.isGang) return this.#placeGang(step, open);
-    let request: PlacementRequest | undefined;
+    let request: Omit<PlacementRequest, 'failedOn'> | undefined;
     let placedCount = 0;
     for (let index = from; index < to; index += 1) {
       const task = waiting[index];
       if (task === undefined) break;
-      if (!this.#isTeamWithinCap(step, step.definition.request))
+      if (!this.#caps.isWithin(step, step.definition.request))
         return { placedCount, isBlocked: true };
       let target: TargetRecord | undefined;
       if (task.isSuspect || room.hasRoom(footprint)) {
-        request ??= this.#buildRequest(step);
+        request ??= buildStepRequest(this.#context, step);
         target = this.#chooseTarget({ ...request, failedOn: task.failedOn }, task, open);
       }
       if (target === undefined && task.isSuspect) continue;
@@ -238,7 +223,7 @@
     if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
       return BLOCKED;
     const { request, count } = step.definition;
-    if (!this.#isTeamWithinCap(step, computeProduct(request, count))) return BLOCKED;
+    if (!this.#caps.isWithin(step, computeProduct(request, count))) return BLOCKED;
     const racks = new Map<string, TargetRecord[]>();
     for (const target of open) racks.set(target.rack, [...(racks.get(target.rack) ?? []), target]);
     const groups = step.definition.isSameRack ? [...racks.values(), open] : [open];
@@ -273,7 +258,7 @@
           footprint,
         ),
       );
-      const request = { ...this.#buildRequest(step), failedOn: task.failedOn };
+      const request = buildPlacementRequest(this.#context, task);
       const countOn = (id: string): number => request.countOn(id) + (plannedCounts.get(id) ?? 0);
       const target = chooseTarget({ ...request, countOn }, candidates);
       if (target === undefined) return undefined;
@@ -282,32 +267,6 @@
     }
     return chosen;
   }
-
-  #buildRequest(step: StepRun): Omit<PlacementRequest, 'failedOn'> & { failedOn: Set<string> } {
-    const { bounds, fleet } = this.#context;
-    const firstAttempt = step.tasks.flatMap((task) => task.attempts)[0];
-    const stepRack =
-      firstAttempt === undefined ? undefined : fleet.find(firstAttempt.targetId)?.rack;
-    return {
-      step: step.definition,
-      footprint: getFootprint(step.definition),
-      remoteFactor: bounds.remoteFactor,
-      stepRack,
-      countOn: (targetId) => step.countAttemptsOn(targetId),
-      failedOn: new Set(),
-    };
-  }
-
-  /** Whether the team of a step may run more tasks that request these resources. */
-  #isTeamWithinCap(step: StepRun, request: Resources): boolean {
-    const { fleet, getOperatorView } = this.#context;
-    const { team } = step.job.stored;
-    const cap = getOperatorView().configuration?.teams.find(({ name }) => name === team)?.cap;
-    if (cap === undefined) return true;
-    const unreported = this.#unreported.get(team);
-    const added = unreported === undefined ? request : addScaled(request, unreported, 1);
-    return isWithinCap(cap, fleet.getRunning(team), added);
-  }
 }
 
 function computeProduct(amount: Resources, factor: number): Resources {
--- /dev/null
+++ b/packages/execution/src/run-expiry.ts
@@ -0,0 +1,35 @@
+import { AttemptPhase } from '@currantgap/jobs';
+import type { OwnerContext } from './context.ts';
+import { LossReason, type ReportProcessor } from './report-processor.ts';
+import type { RunOrders } from './run-orders.ts';
+
+/** Milliseconds after the computed lease expiry at which a run counts as lost. */
+const LEASE_EXPIRY_MARGIN_MS = 100;
+
+/** Records runs whose leases have expired as lost, and repeats stops that were not answered. */
+export class RunExpiry {
+  readonly #context: OwnerContext;
+  readonly #orders: RunOrders;
+  readonly #reportProcessor: ReportProcessor;
+
+  constructor(context: OwnerContext, orders: RunOrders, reportProcessor: ReportProcessor) {
+    this.#context = context;
+    this.#orders = orders;
+    this.#reportProcessor = reportProcessor;
+  }
+
+  /** Checks all targets. */
+  sweep(): void {
+    const { clock, fleet } = this.#context;
+    for (const target of [...fleet.targets]) {
+      const lostAt = target.leasesExpireAt + LEASE_EXPIRY_MARGIN_MS;
+      if (target.assignmentCount > 0 && clock.now > lostAt) {
+        this.#reportProcessor.recordAllLost(target, LossReason.LeasesExpired);
+      }
+      for (const assignment of target.assignments) {
+        if (assignment.attempt.phase === AttemptPhase.Stopping)
+          this.#orders.stop(assignment, 'repeated');
+      }
+    }
+  }
+}
--- a/packages/execution/test/full-pool.test.ts
+++ b/packages/execution/test/full-pool.test.ts
@@ -66,7 +66,10 @@
     const { context } = this.harness;
     const quarantine = new Quarantine(context.clock, () => undefined);
     const advice = new AdviceCache(context, undefined);
-    return new Planner(context, new RunOrders(context), advice, quarantine);
+    return new Planner(context, new RunOrders(context), advice, quarantine, {
+      requestReport: () => undefined,
+      onCopy: undefined,
+    });
   }
 }
 
--- a/packages/jobs/src/critical-path.ts
+++ b/packages/jobs/src/critical-path.ts
@@ -17,9 +17,28 @@
   return Math.max(0, ...endsMs);
 }
 
+/**
+ * Computes the length of the longest path through the steps that depend on a step, in milliseconds;
+ * the step itself does not count.
+ */
+export function computeFollowingPathMs(
+  steps: readonly Step[],
+  index: number,
+  estimateTaskMs: (step: Step) => number,
+): number {
+  const endsMs: (number | undefined)[] = [];
+  for (const [position, step] of steps.entries()) {
+    const startsMs = step.after.flatMap((earlier) => endsMs[earlier] ?? []);
+    if (position === index) endsMs.push(0);
+    else if (startsMs.length === 0) endsMs.push(undefined);
+    else endsMs.push(Math.max(...startsMs) + estimateTaskMs(step));
+  }
+  return Math.max(0, ...endsMs.map((endMs) => endMs ?? 0));
+}
+
 /**
  * Computes the length of the remaining critical path of an occurrence in milliseconds: steps that
- * are done count 0, and a task in flight counts only its expected remaining time.
+ * are done count 0, and a task in flight counts only the expected remaining time of its oldest run.
  * `estimateRemainingMs` returns that of a task of a step that has run for `elapsedMs`.
  */
 export function computeRemainingCriticalPathMs(
@@ -37,14 +56,13 @@
     let remainingMs = 0;
     let hasUnstarted = false;
     for (const task of step.tasks) {
-      const [attempt] = task.attempts;
       if (task.isDone) continue;
-      if (attempt === undefined) {
+      if (!task.isActive) {
         hasUnstarted = true;
         continue;
       }
-      const elapsedMs = Math.max(0, now - attempt.startedAt);
-      remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, elapsedMs));
+      const startedAt = Math.min(now, ...task.attempts.map((attempt) => attempt.startedAt));
+      remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, now - startedAt));
     }
     if (hasUnstarted) remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, 0));
     endsMs.push(startMs + remainingMs);
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -38,6 +38,13 @@
     registers: [this.registry],
   });
 
+  readonly copies = new Counter({
+    name: 'currantgap_copies_total',
+    help: 'Copies of stragglers that this node as the owner started, and how they ended',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+
   readonly durationRatio = new Histogram({
     name: 'currantgap_task_duration_ratio',
     help: 'Ratio of the actual to the expected duration of tasks by route',
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -204,6 +204,9 @@
       observeDuration: (route, ratio) => {
         this.#metrics.durationRatio.observe({ route }, ratio);
       },
+      onCopy: (outcome) => {
+        this.#metrics.copies.inc({ outcome });
+      },
       onDeposed: (reason) => {
         if (this.#isStopping) this.#closeOwner();
         else this.#ownership.endTerm(reason);
