test(execution): the test of a third run fails without the memory of copies

Cause: the straggler of the test was to end within the late limit, so no copy was worth it anyway. Change: it reports less progress. Ruled out: the budget, which the test raises. Conclusion: the rule is guarded.

--- a/packages/execution/test/run-copier.test.ts
+++ b/packages/execution/test/run-copier.test.ts
@@ -226,7 +226,7 @@
     const harness = new CopyHarness();
     const other = harness.copy();
     harness.raiseBudget();
-    harness.report(harness.slow, 31);
+    harness.report(harness.slow, 10);
     harness.planLater();
     harness.end(other, EndKind.Stopped);
     harness.planLater();
