feat(admission): submissions that cannot be served in time are refused at the door

Cause: nothing was refused for load; a job behind a backlog that outlasts its late limit was stored, waited, and took the place of others. Change: the owner computes per pool and team how long new work waits and announces it to the forwarders while a pool is contended; nodes decide from it. A refusal is stored under the id in the table of ended jobs, so that a late write of the submission through another node fails. Ruled out: refusing without a write (a late insert would run what was refused); a row in the store for the evidence (latency of a slow store when it matters most).

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -28,6 +28,8 @@
   readonly statusMs: number;
   /** Shortest time between orders of two lease holders for the same VM. */
   readonly holderChangeMs: number;
+  /** Time that a VM takes to move between pools; 0 if unknown. */
+  readonly moveMs?: number;
 }
 
 /** State of one term, shared by the components of the owner's task. */
--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admission-publisher.ts';
 export * from './context.ts';
 export * from './intake-tables.ts';
 export * from './job-index.ts';
--- a/packages/execution/src/intake-tables.ts
+++ b/packages/execution/src/intake-tables.ts
@@ -47,6 +47,27 @@
   return JSON.stringify({ state, endedAt });
 }
 
+/**
+ * Encodes the row of a refused submission. It stands in the table of ended jobs, so that a write of
+ * the submission which another node has still in flight cannot succeed later.
+ */
+export function encodeRefusal(refusedAt: number): string {
+  return JSON.stringify({ refusedAt });
+}
+
+/**
+ * Decodes the row of a refused submission: the Unix milliseconds of the refusal; undefined if the row
+ * is none.
+ */
+export function decodeRefusal(value: string): number | undefined {
+  try {
+    const row = JSON.parse(value) as { refusedAt?: unknown } | null;
+    return typeof row?.refusedAt === 'number' ? row.refusedAt : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
 const STATES = Object.values(JobState);
 
 /** Decodes the row of an ended job; undefined if it is malformed. */
--- a/packages/execution/src/job-purger.ts
+++ b/packages/execution/src/job-purger.ts
@@ -1,6 +1,12 @@
 import type { PageSizer, Row, Store } from '@currantgap/store';
 import { getWallNow, type OwnerContext } from './context.ts';
-import { decodeEndedJob, ENDED_TABLE, getIntakePart, INTAKE_PARTS } from './intake-tables.ts';
+import {
+  decodeEndedJob,
+  decodeRefusal,
+  ENDED_TABLE,
+  getIntakePart,
+  INTAKE_PARTS,
+} from './intake-tables.ts';
 
 /** Milliseconds between purges of the jobs that this owner has archived. */
 const PURGE_PERIOD_MS = 1_000;
@@ -74,12 +80,17 @@
   }
 
   #isRowExpired({ key, value }: Row): boolean {
-    const ended = decodeEndedJob(value);
-    if (ended === undefined) {
-      this.#context.logger.writeError('row of an ended job not decodable', { id: key });
+    const { jobs, logger } = this.#context;
+    const refusedAt = decodeRefusal(value);
+    // A submission that was accepted after its refusal has a row of its own soon.
+    const isKnown = jobs.find(key) !== undefined || jobs.findArchived(key) !== undefined;
+    if (refusedAt !== undefined && isKnown) return false;
+    const endedAt = refusedAt ?? decodeEndedJob(value)?.endedAt;
+    if (endedAt === undefined) {
+      logger.writeError('row of an ended job not decodable', { id: key });
       return false;
     }
-    return this.#isExpired(ended.endedAt);
+    return this.#isExpired(endedAt);
   }
 
   async #remove(part: string, ids: readonly string[]): Promise<void> {
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -4,6 +4,7 @@
 import type { PageSizer, Row, Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
+import { AdmissionPublisher, type AdmissionPort } from './admission-publisher.ts';
 import { AdviceCache } from './advice-cache.ts';
 import { JobPurger } from './job-purger.ts';
 import { buildContext } from './build-context.ts';
@@ -62,6 +63,8 @@
   /** Whether the ownership lease is still valid, so that no other node can have taken over. */
   readonly hasValidLease: () => boolean;
   readonly encodeWaveStatus: EncodeWaveStatus;
+  /** Undefined if nothing is refused for load. */
+  readonly admissionPort: AdmissionPort | undefined;
   /** Called when another node has taken over, but not after the owner was closed. */
   readonly onDeposed: (reason: string) => void;
 }
@@ -121,6 +124,11 @@
       this.#archiver,
       new JobPurger(this.#context, options.store, options.pageSizer),
       new LoadReporter(this.#context),
+      new AdmissionPublisher(
+        this.#context,
+        options.admissionPort,
+        () => this.#vmManager?.listVms() ?? [],
+      ),
     ];
     this.#intake = new Intake({
       context: this.#context,
--- a/packages/execution/src/vm-manager.ts
+++ b/packages/execution/src/vm-manager.ts
@@ -3,6 +3,7 @@
 import type { RunOrders } from './run-orders.ts';
 import { computePoolLoads, type PoolLoad } from './pool-load.ts';
 import { PoolSizer } from './pool-sizer.ts';
+import type { PlacedVm } from './pool-supply.ts';
 import type { VmPort } from './ports.ts';
 import type { ReportProcessor } from './report-processor.ts';
 import { VmController } from './vm-controller.ts';
@@ -62,6 +63,17 @@
     this.#isLoaded = true;
   }
 
+  /** Lists the VMs with their pools, without those that are being maintained. */
+  listVms(): PlacedVm[] {
+    const placed: PlacedVm[] = [];
+    for (const vm of this.#vmController.vms) {
+      const plan = this.#vmController.findOperation(vm.name)?.plan;
+      if (plan?.kind === 'maintain') continue;
+      placed.push({ vm, pool: plan?.pool ?? vm.pool });
+    }
+    return placed;
+  }
+
   /** Prevents further orders; used when the term ends. */
   stop(): void {
     this.#orderLog.stop();
--- a/packages/forwarding/src/forwarder-connection.ts
+++ b/packages/forwarding/src/forwarder-connection.ts
@@ -103,6 +103,11 @@
     }
   }
 
+  /** Sends an announcement, unless so much waits to be sent that it would arrive too late. */
+  announce(announcement: object): void {
+    if (this.isUsable) this.#channel.send(announcement);
+  }
+
   /** Closes the connection; calls in flight get no result. */
   close(reason: string): void {
     this.#channel.close(reason);
--- a/packages/forwarding/src/forwarder-pool.ts
+++ b/packages/forwarding/src/forwarder-pool.ts
@@ -1,3 +1,4 @@
+import type { AdmissionEvidence } from '@currantgap/admission';
 import type { LeaseRenewalFault } from '@currantgap/execution';
 import {
   OrderOutcome,
@@ -21,6 +22,7 @@
   decodeOrderOutcome,
   decodeRenewal,
   decodeStartOutcome,
+  encodeAnnouncement,
   type WireResult,
 } from './messages.ts';
 
@@ -98,6 +100,12 @@
     return sortSuccessors(infos, this.#options.dataCentre).slice(0, SUCCESSOR_COUNT);
   }
 
+  /** Announces the owner's evidence about contention to all connected nodes. */
+  announce(evidence: AdmissionEvidence): void {
+    const announcement = encodeAnnouncement(evidence);
+    for (const connection of this.#connections.values()) connection.announce(announcement);
+  }
+
   /** Closes all connections; calls in flight get no answer. */
   close(): void {
     clearInterval(this.#timer);
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,3 +1,4 @@
+import type { AdmissionEvidence } from '@currantgap/admission';
 import type { TargetPort } from '@currantgap/execution';
 import { describeError } from '@currantgap/model';
 import type { Logger } from '@currantgap/telemetry';
@@ -5,7 +6,13 @@
 import type { Duplex } from 'node:stream';
 import { encodeHandshake, type ForwarderInfo } from './handshake.ts';
 import { LineChannel } from './line-channel.ts';
-import { CallKind, decodeCall, encodeRenewal, type ForwardedCall } from './messages.ts';
+import {
+  CallKind,
+  decodeAnnouncement,
+  decodeCall,
+  encodeRenewal,
+  type ForwardedCall,
+} from './messages.ts';
 import { getJobId, SpecCache } from './spec-cache.ts';
 
 /** Milliseconds between checks of the connection and of who the owner is. */
@@ -35,6 +42,8 @@
   readonly info: Omit<ForwarderInfo, 'epoch'>;
   /** The owner; undefined if none is known or if this node is the owner. */
   readonly findOwner: () => OwnerEndpoint | undefined;
+  /** Receives the owner's evidence about contention. */
+  readonly onEvidence: (evidence: AdmissionEvidence) => void;
 }
 
 /**
@@ -123,6 +132,7 @@
       socket,
       head,
       onValue: (value) => {
+        this.#applyAnnouncement(value, owner);
         const call = decodeCall(value);
         if (call !== undefined) this.#handleCall(call, channel);
       },
@@ -136,6 +146,16 @@
     logger.writeInfo('forwarding begun', { epoch: owner.epoch, owner: owner.address });
   }
 
+  /** Passes evidence on. Malformed evidence is skipped, because calls still depend on the channel. */
+  #applyAnnouncement(value: unknown, owner: OwnerEndpoint): void {
+    const evidence = decodeAnnouncement(value);
+    if (evidence === undefined) return;
+    const { logger, onEvidence } = this.#options;
+    if (evidence.isErr()) {
+      logger.writeError('admission evidence not decodable', { reason: evidence.error });
+    } else if (evidence.value.epoch === owner.epoch) onEvidence(evidence.value);
+  }
+
   #handleCall(forwarded: ForwardedCall, channel: LineChannel): void {
     const { targetPort } = this.#options;
     const { call, target } = forwarded;
--- a/packages/forwarding/src/messages.ts
+++ b/packages/forwarding/src/messages.ts
@@ -1,3 +1,4 @@
+import { decodeEvidence, encodeEvidence, type AdmissionEvidence } from '@currantgap/admission';
 import {
   LeaseRenewalFault,
   OrderOutcome,
@@ -86,6 +87,18 @@
   return call as ForwardedCall;
 }
 
+/** Encodes an announcement of evidence; it is no call, so that earlier versions ignore it. */
+export function encodeAnnouncement(evidence: AdmissionEvidence): object {
+  return { admission: encodeEvidence(evidence) };
+}
+
+/** Decodes an announcement of evidence; undefined if the value is none. */
+export function decodeAnnouncement(value: unknown): Result<AdmissionEvidence, string> | undefined {
+  const announcement = value as { admission?: unknown } | null;
+  if (announcement?.admission === undefined) return undefined;
+  return decodeEvidence(announcement.admission);
+}
+
 /** Decodes a result; undefined if it is none, as for a heartbeat. Throws if it is malformed. */
 export function decodeResult(value: unknown): WireResult | undefined {
   const result = value as Partial<WireResult> | null;
--- a/packages/forwarding/test/harness.ts
+++ b/packages/forwarding/test/harness.ts
@@ -1,3 +1,4 @@
+import type { AdmissionEvidence } from '@currantgap/admission';
 import type { LeaseRenewalFault } from '@currantgap/execution';
 import {
   OrderOutcome,
@@ -87,6 +88,7 @@
     dataCentre: 'riga-a',
     logger: new Logger(),
   });
+  readonly evidence: { node: string; evidence: AdmissionEvidence }[] = [];
   readonly ports = new Map<string, RecordingPort>();
   readonly #forwarders = new Map<string, Forwarder>();
   readonly #server: Server = createServer();
@@ -113,6 +115,7 @@
       logger: new Logger(),
       info: { node, dataCentre, cores: 1, linkMbps: 100 },
       findOwner: () => ({ address: this.#address, epoch }),
+      onEvidence: (evidence) => this.evidence.push({ node, evidence }),
     });
     this.#forwarders.set(node, forwarder);
     forwarder.start();
--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -1,4 +1,11 @@
-import { ENDED_TABLE, getCancelKey, getIntakePart, INTAKE_TABLE } from '@currantgap/execution';
+import type { EvidenceHolder, Refusal, RefusalReason } from '@currantgap/admission';
+import {
+  encodeRefusal,
+  ENDED_TABLE,
+  getCancelKey,
+  getIntakePart,
+  INTAKE_TABLE,
+} from '@currantgap/execution';
 import { encodeStoredJob } from '@currantgap/jobs';
 import {
   createFault,
@@ -12,6 +19,7 @@
 import type { Logger } from '@currantgap/telemetry';
 import type { Result } from 'neverthrow';
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { AdmissionGate } from './admission-gate.ts';
 import { readBody, sendResponse, type JsonResponse } from './exchange.ts';
 import { IntakeWriter, WriteOutcome } from './intake-writer.ts';
 import type { RouteMatch, RouteTable } from './route-table.ts';
@@ -39,6 +47,9 @@
     status: number,
     durationMs: number,
   ): void;
+
+  /** Receives one observation for each submission that was refused for load. */
+  abstract observeRefusal(route: string, team: string, reason: RefusalReason): void;
 }
 
 /** Options of the ingress handler. */
@@ -49,6 +60,8 @@
   readonly observer: RequestObserver;
   /** Returns the routes of the current configuration; undefined before the first one is loaded. */
   readonly getRoutes: () => RouteTable | undefined;
+  /** The owner's evidence about contention. */
+  readonly evidence: EvidenceHolder;
   /** Decodes the body of a submission. */
   readonly decodeSubmission: (text: string) => Result<Submission, Fault>;
   /** Lower-case name of the header that carries the caller's timeout in milliseconds. */
@@ -73,6 +86,7 @@
   readonly #options: IngressOptions;
   readonly #writer: IntakeWriter;
   readonly #stateReader: StateReader;
+  readonly #gate: AdmissionGate;
   #inFlight = 0;
   #isStopping = false;
 
@@ -80,6 +94,7 @@
     this.#options = options;
     this.#writer = new IntakeWriter(options.store, options.logger);
     this.#stateReader = new StateReader(options.owner, options.store);
+    this.#gate = new AdmissionGate(options.evidence);
   }
 
   /** Number of requests in flight. */
@@ -174,8 +189,11 @@
     }
     const submission = this.#options.decodeSubmission(body.value);
     if (submission.isErr()) return buildFaultResponse(400, submission.error);
-    const id = call.suffix;
+    const { route, suffix: id, team } = call;
     const part = getIntakePart(id);
+    const request = { id, route, team, submission: submission.value };
+    const refusal = this.#gate.decide(request, performance.now());
+    if (refusal !== undefined) return this.#refuse(call, refusal);
     const outcome = await this.#writer.write({
       row: {
         table: INTAKE_TABLE,
@@ -183,19 +201,54 @@
         key: id,
         value: encodeStoredJob({
           id,
-          route: call.route.name,
-          team: call.team,
+          route: route.name,
+          team,
           acceptedAt: Date.now(),
           submission: submission.value,
         }),
       },
       absent: [INTAKE_TABLE, ENDED_TABLE].map((table) => ({ table, part, key: id })),
+      replacesRefusalsThrough: this.#writer.findVersionBefore(call.receivedAt),
       deadline: call.deadline,
     });
     this.#reportOutcome('submission', call, outcome);
+    if (outcome === WriteOutcome.Written) this.#gate.recordAccepted(id);
     return buildWriteResponse(outcome, 'The submission was not stored and will not run.');
   }
 
+  /**
+   * Refuses a submission for load. The refusal is stored, unless the submission is, so that a write
+   * by another node which is still in flight cannot succeed after it.
+   */
+  async #refuse(call: Call, refusal: Refusal): Promise<JsonResponse> {
+    const { suffix: id, route, team } = call;
+    const { reason, retryAfterS, evidenceAgeMs, waitMs } = refusal;
+    const part = getIntakePart(id);
+    const outcome = await this.#writer.write({
+      row: { table: ENDED_TABLE, part, key: id, value: encodeRefusal(Date.now()) },
+      absent: [INTAKE_TABLE, ENDED_TABLE].map((table) => ({ table, part, key: id })),
+      replacesRefusalsThrough: Infinity,
+      deadline: call.deadline,
+    });
+    if (outcome !== WriteOutcome.Written) {
+      this.#reportOutcome('submission', call, outcome);
+      return buildWriteResponse(outcome, 'The submission was not stored and will not run.');
+    }
+    this.#gate.recordRefused(id, retryAfterS, performance.now());
+    this.#options.observer.observeRefusal(route.name, team, reason);
+    this.#options.logger.writeInfo('submission refused', {
+      request: id,
+      route: route.name,
+      team,
+      reason,
+      waitMs: Math.round(waitMs),
+      evidenceAgeMs: Math.round(evidenceAgeMs),
+      retryAfterS,
+      tookMs: Math.round(performance.now() - call.receivedAt),
+    });
+    return buildOverloaded(retryAfterS);
+  }
+
   async #getState(call: Call): Promise<JsonResponse> {
     const state = await this.#stateReader.findState(call.suffix);
     if (state === LookupFault.Unavailable) return buildUnavailable('The state cannot be read now.');
@@ -243,6 +296,7 @@
 
 function buildWriteResponse(outcome: WriteOutcome, refusedMessage: string): JsonResponse {
   if (outcome === WriteOutcome.Refused) return buildUnavailable(refusedMessage);
+  if (outcome === WriteOutcome.Withdrawn) return buildOverloaded(RETRY_AFTER_S);
   if (outcome !== WriteOutcome.Unknown) return { status: 200, body: { state: JobState.Pending } };
   const remedy = 'Send it again with the same id.';
   return buildRefusal(504, FaultKind.OutcomeUnknown, 'Whether it was stored is not known.', remedy);
@@ -256,6 +310,12 @@
   };
 }
 
+function buildOverloaded(retryAfterS: number): JsonResponse {
+  const message = 'The submission cannot be served in time and will not run.';
+  const remedy = `Send it again in ${retryAfterS} s.`;
+  return { ...buildRefusal(429, FaultKind.Overloaded, message, remedy), retryAfterS };
+}
+
 function buildNotFound(): JsonResponse {
   return buildRefusal(410, FaultKind.NotFound, 'There is no such submission.', 'Check the id.');
 }
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -1,6 +1,14 @@
-import { StoreFaultKind, type RowKey, type Store, type StoreFault } from '@currantgap/store';
+import { decodeRefusal } from '@currantgap/execution';
+import {
+  StoreFaultKind,
+  type Row,
+  type RowKey,
+  type Store,
+  type StoreFault,
+} from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { SeenVersions } from './seen-versions.ts';
 
 /** Each row takes two conditions and a put; the store accepts at most 100 entries per transaction. */
 const ROWS_PER_TRANSACTION = 30;
@@ -29,6 +37,8 @@
   AlreadyExists = 'known',
   /** The row was not written, and this write can no longer take effect. */
   Refused = 'refused',
+  /** Another node has refused the submission, and the write can no longer take effect. */
+  Withdrawn = 'withdrawn',
   /** The row may have been written, or may still be. */
   Unknown = 'unknown',
 }
@@ -38,11 +48,18 @@
   readonly row: RowKey & { readonly value: string };
   /** Rows that must not exist yet; empty if the write has no condition. */
   readonly absent: readonly RowKey[];
+  /**
+   * Highest version of a row of a refused submission that the write may replace among `absent`; 0 if
+   * it may replace none.
+   */
+  readonly replacesRefusalsThrough?: number;
   /** Monotonic time (`performance.now()`) at which the caller stops waiting, in milliseconds. */
   readonly deadline: number;
 }
 
 interface PendingWrite extends IntakeWrite {
+  /** Rows with the version that each must have. */
+  conditions: readonly (RowKey & { readonly version: number })[];
   /** Whether the response to an attempt was lost, so that the write may still take effect. */
   isUncertain: boolean;
   attempts: number;
@@ -56,6 +73,7 @@
 export class IntakeWriter {
   readonly #store: Store;
   readonly #logger: Logger;
+  readonly #versions = new SeenVersions();
   #pending: PendingWrite[] = [];
   /** Number of transactions in flight by part. */
   readonly #inFlight = new Map<string, number>();
@@ -73,6 +91,11 @@
     return this.#failures >= FAILURES_TO_OPEN;
   }
 
+  /** Finds the highest version of the store that this node had seen well before a time. */
+  findVersionBefore(arrivedAt: number): number {
+    return this.#versions.findBefore(arrivedAt);
+  }
+
   /** Writes a row; resolves when the outcome is known or the deadline has passed. */
   async write(write: IntakeWrite): Promise<WriteOutcome> {
     if (this.isCircuitOpen && !this.#startProbe()) return WriteOutcome.Refused;
@@ -85,7 +108,8 @@
         clearTimeout(timer);
         resolve(outcome);
       };
-      const pending = { ...write, isUncertain: false, attempts: 0, resolve: finish };
+      const conditions = write.absent.map((key) => ({ ...key, version: 0 }));
+      const pending = { ...write, conditions, isUncertain: false, attempts: 0, resolve: finish };
       this.#pending.push(pending);
       this.#scheduleSend();
     });
@@ -146,12 +170,13 @@
   async #commit(batch: readonly PendingWrite[]): Promise<void> {
     for (const write of batch) write.attempts += 1;
     const result = await this.#store.commit({
-      conditions: batch.flatMap(({ absent }) => absent.map((key) => ({ ...key, version: 0 }))),
+      conditions: batch.flatMap(({ conditions }) => conditions),
       puts: batch.map(({ row }) => row),
       removals: [],
     });
     if (result.isOk()) {
       this.#recordSuccess();
+      this.#versions.record(result.value, performance.now());
       for (const write of batch) write.resolve(WriteOutcome.Written);
       return;
     }
@@ -179,12 +204,22 @@
     this.#pending = [...retried, ...this.#pending];
   }
 
-  /** Rows that exist were written by an earlier attempt or another node; the others are resent. */
+  /**
+   * Rows that exist were written by an earlier attempt or another node. Writes that may replace a
+   * refusal, and those without a conflict of their own, are resent.
+   */
   #resolveConflict(fault: StoreFault, batch: readonly PendingWrite[]): void {
-    const existing = new Set(fault.rows.filter(({ version }) => version > 0).map(({ key }) => key));
-    const remaining = batch.filter(({ row }) => !existing.has(row.key));
-    for (const write of batch)
-      if (existing.has(write.row.key)) write.resolve(WriteOutcome.AlreadyExists);
+    for (const { version } of fault.rows) this.#versions.record(version, performance.now());
+    const remaining: PendingWrite[] = [];
+    for (const write of batch) {
+      const outcome = findConflict(write, fault.rows);
+      if (outcome === undefined) remaining.push(write);
+      else write.resolve(outcome);
+      write.conditions = write.conditions.map((condition) => ({
+        ...condition,
+        version: findRow(fault.rows, condition)?.version ?? condition.version,
+      }));
+    }
     this.#pending = [...remaining, ...this.#pending];
   }
 
@@ -201,3 +236,17 @@
     this.#failures = 0;
   }
 }
+
+/** Finds the outcome of a write whose rows exist; undefined if it may be sent again. */
+function findConflict(write: PendingWrite, rows: readonly Row[]): WriteOutcome | undefined {
+  const existing = write.absent.flatMap((key) => findRow(rows, key) ?? []);
+  const present = existing.filter(({ version }) => version > 0);
+  if (present.some(({ value }) => decodeRefusal(value) === undefined))
+    return WriteOutcome.AlreadyExists;
+  const through = write.replacesRefusalsThrough ?? 0;
+  return present.some(({ version }) => version > through) ? WriteOutcome.Withdrawn : undefined;
+}
+
+function findRow(rows: readonly Row[], { table, key }: RowKey): Row | undefined {
+  return rows.find((row) => row.table === table && row.key === key);
+}
--- a/packages/ingress/src/state-reader.ts
+++ b/packages/ingress/src/state-reader.ts
@@ -1,5 +1,6 @@
 import {
   decodeEndedJob,
+  decodeRefusal,
   ENDED_TABLE,
   getCancelKey,
   getIntakePart,
@@ -96,7 +97,7 @@
     });
     if (page.isErr()) return LookupFault.Unavailable;
     const row = page.value.rows.find(({ key }) => key === id);
-    if (row === undefined) return LookupFault.NotFound;
+    if (row === undefined || decodeRefusal(row.value) !== undefined) return LookupFault.NotFound;
     return decodeEndedJob(row.value)?.state ?? LookupFault.Unavailable;
   }
 
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -3,6 +3,7 @@
 import { createServer, request, type IncomingMessage, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { after, before, describe, it } from 'node:test';
+import { EvidenceHolder } from '@currantgap/admission';
 import {
   IngressHandler,
   RequestObserver,
@@ -25,6 +26,10 @@
   observe(): void {
     // These tests do not check observations.
   }
+
+  observeRefusal(): void {
+    // These tests do not check observations.
+  }
 }
 
 class ScriptedOwner extends OwnerPort {
@@ -82,6 +87,7 @@
       owner,
       observer: new SilentObserver(),
       getRoutes: () => routes,
+      evidence: new EvidenceHolder(),
       decodeSubmission,
       deadlineHeader: 'x-deadline-ms',
     });
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -1,3 +1,4 @@
+import type { RefusalReason } from '@currantgap/admission';
 import { RequestObserver } from '@currantgap/ingress';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
@@ -35,6 +36,31 @@
     registers: [this.registry],
   });
 
+  readonly refusals = new Counter({
+    name: 'currantgap_refusals_total',
+    help: 'Submissions refused for load by route, team and reason',
+    labelNames: ['route', 'team', 'reason'],
+    registers: [this.registry],
+  });
+
+  readonly backlogCores = new Gauge({
+    name: 'currantgap_backlog_cores',
+    help: 'Cores that waiting tasks request, by service; set on the owner',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+
+  readonly startSeconds = new Gauge({
+    name: 'currantgap_start_seconds',
+    help: 'Longest time until new work of a team could start, by service; set on the owner',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
+
+  observeRefusal(route: string, team: string, reason: RefusalReason): void {
+    this.refusals.inc({ route, team, reason });
+  }
+
   observe(method: string, route: string, team: string, status: number, durationMs: number): void {
     this.calls.inc({ method, route, team, status });
     this.callSeconds.observe({ route, team }, durationMs / MILLISECONDS_PER_SECOND);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,3 +1,4 @@
+import { EvidenceHolder } from '@currantgap/admission';
 import { NORMAL_LEASE_MS, Owner } from '@currantgap/execution';
 import { acceptForwarder, Forwarder, ForwarderPool } from '@currantgap/forwarding';
 import { IngressHandler } from '@currantgap/ingress';
@@ -29,6 +30,7 @@
 import { randomBytes } from 'node:crypto';
 import { createServer, type RequestListener, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { AdmissionRelay } from './admission-relay.ts';
 import { NodeMetrics } from './node-metrics.ts';
 import { OperatorFeedConsumer } from './operator-feed-consumer.ts';
 import { handlePeerCall, OwnerClient } from './peer.ts';
@@ -78,6 +80,8 @@
   readonly #store: HttpStore;
   readonly #pageSizer: PageSizer;
   readonly #operatorFeed: OperatorFeedConsumer;
+  /** What the owner has last told about contention. */
+  readonly #evidence = new EvidenceHolder();
   readonly #ingress: IngressHandler;
   readonly #ownership: Ownership;
   readonly #forwarder: Forwarder;
@@ -194,6 +198,7 @@
       getOperatorView: () => this.#operatorFeed.view,
       vmPort: this.#createVmPort(),
       advicePort: this.#createAdvicePort(),
+      admissionPort: new AdmissionRelay(pool, this.#evidence, this.#metrics),
       hasFreshLease: () => this.#ownership.isLeaseFresh,
       hasValidLease: () => this.#isStopping || this.#ownership.isLeaseValid,
       encodeWaveStatus: (wave, isComplete) => ({
@@ -229,6 +234,8 @@
     this.#owner = undefined;
     this.#forwarderPool?.close();
     this.#forwarderPool = undefined;
+    this.#metrics.backlogCores.reset();
+    this.#metrics.startSeconds.reset();
   }
 
   #createVmPort(): HttpVms | undefined {
@@ -273,6 +280,9 @@
         if (lease.incarnation === this.#incarnation) return undefined;
         return { address: lease.address, epoch: lease.epoch };
       },
+      onEvidence: (evidence) => {
+        this.#evidence.accept(evidence, performance.now());
+      },
     });
   }
 
@@ -288,6 +298,7 @@
       owner,
       observer: this.#metrics,
       getRoutes: () => this.#operatorFeed.routes,
+      evidence: this.#evidence,
       decodeSubmission,
       deadlineHeader: DEADLINE_HEADER,
     });
--- a/tools/layers.js
+++ b/tools/layers.js
@@ -3,7 +3,7 @@
   ['model'],
   ['tasks', 'settings', 'store', 'scheduling'],
   ['telemetry', 'environment', 'sharing', 'routing', 'jobs'],
-  ['allowance', 'platform', 'peer', 'ownership', 'fleet'],
+  ['admission', 'allowance', 'platform', 'peer', 'ownership', 'fleet'],
   ['membership', 'execution'],
   ['freshness', 'ingress', 'forwarding'],
   ['gateway', 'operator', 'platform-adapter'],
