test(admission): refused ids, evidence, announcements; a fuller view of known versions

Change: nodes note the newest version that any response of the store names; a pool with room for all that could run reports no wait. Ruled out: proof by the store's clock, since a node that stood still would take an old attempt for new.

--- a/packages/admission/src/backlog.ts
+++ b/packages/admission/src/backlog.ts
@@ -2,6 +2,7 @@
 import { computeDominantShare, computeTeamShares, type TeamUsage } from '@currantgap/sharing';
 import type { PoolEvidence, PriorityWait, TeamWait } from './evidence.ts';
 
+const RESOURCE_NAMES = ['cpuMillis', 'memoryMb', 'gpus'] as const;
 /** Tolerance within which two shares count as equal. */
 const SHARE_TOLERANCE = 1e-6;
 /** Part of its share that a team counts as having for timed work, whatever its persistent tasks hold. */
@@ -45,7 +46,7 @@
     return {
       team: load.team,
       isBeyondShare: demand > owed + SHARE_TOLERANCE,
-      waits: computeWaits(pool, load, entitled),
+      waits: hasRoomForAll(pool) ? [] : computeWaits(pool, load, entitled),
     };
   });
   return { service: pool.service, teams };
@@ -56,6 +57,14 @@
   return Math.max(0, ...teams.flatMap(({ waits }) => waits.map(({ waitMs }) => waitMs)));
 }
 
+/** Whether everything that could run now fits, so that nothing has to wait. */
+function hasRoomForAll({ capacity, teams }: PoolState): boolean {
+  return RESOURCE_NAMES.every((name) => {
+    const requested = teams.reduce((sum, load) => sum + load.held[name] + load.waiting[name], 0);
+    return requested <= capacity[name];
+  });
+}
+
 /** Computes the share that a team gets if it asks for the whole pool. */
 function computeEntitlement(total: Resources, teams: readonly TeamLoad[], team: string): number {
   const usages = teams.map((load) => (load.team === team ? { ...load, waiting: total } : load));
@@ -72,7 +81,7 @@
     arriving = addResources(arriving, entry.arriving);
     let waitMs = 0;
     let growth = 0;
-    for (const name of ['cpuMillis', 'memoryMb', 'gpus'] as const) {
+    for (const name of RESOURCE_NAMES) {
       const now = computeRate(entitled * pool.capacity[name], load.persistent[name]);
       const later = computeRate(
         entitled * (pool.capacity[name] + pool.extra[name]),
--- /dev/null
+++ b/packages/execution/test/admission-publisher.test.ts
@@ -0,0 +1,112 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { decideAdmission, type AdmissionEvidence } from '@currantgap/admission';
+import { VmState, type Vm } from '@currantgap/model';
+import { AdmissionPort, AdmissionPublisher, type PoolGauges } from '../src/admission-publisher.ts';
+import type { PlacedVm } from '../src/pool-supply.ts';
+import { CORE, createStoredJob, createTarget, ROUTE, TermHarness } from './term-harness.ts';
+
+const PERIOD_MS = 250;
+
+class RecordingAdmissionPort extends AdmissionPort {
+  readonly published: AdmissionEvidence[] = [];
+  gauges: readonly PoolGauges[] = [];
+
+  publish(evidence: AdmissionEvidence): void {
+    this.published.push(evidence);
+  }
+
+  observe(pools: readonly PoolGauges[]): void {
+    this.gauges = pools;
+  }
+}
+
+describe('AdmissionPublisher', () => {
+  /** Sweeps with one target of four cores and jobs of one core and second. */
+  function createOverload(jobs: number, spare = 0) {
+    const harness = new TermHarness();
+    const port = new RecordingAdmissionPort();
+    harness.addTarget('t1');
+    const vms = Array.from({ length: spare }, (_, number): PlacedVm => {
+      const { capacity, labels, dataCentre } = createTarget('t1');
+      const name = `spare-${number}`;
+      const vm: Vm = {
+        name,
+        pool: 'reserve',
+        state: VmState.Up,
+        dataCentre,
+        labels,
+        capacity,
+        targetId: undefined,
+      };
+      return { vm, pool: 'reserve' };
+    });
+    harness.configuration = {
+      ...harness.configuration,
+      services: [
+        ...harness.configuration.services,
+        { name: 'reserve', isCapacityEnforced: true, isSpare: true },
+      ],
+    };
+    for (let number = 0; number < jobs; number += 1) harness.addJob(`job-${number}`, [{}]);
+    const publisher = new AdmissionPublisher(harness.context, port, () => vms);
+    const sweep = (): void => {
+      harness.advance(PERIOD_MS);
+      publisher.sweep();
+    };
+    return { harness, port, publisher, sweep };
+  }
+
+  function isRefused(evidence: AdmissionEvidence | undefined): boolean {
+    if (evidence === undefined) return false;
+    const { submission } = createStoredJob('id', [{}]);
+    const request = { id: 'id', route: ROUTE, team: 'kurzeme', submission, patience: 1 };
+    const held = { evidence, receivedAt: 0, expiresAt: 1 };
+    return decideAdmission(request, held, 0) !== undefined;
+  }
+
+  it('publishes nothing while the pool keeps up', () => {
+    const { port, sweep } = createOverload(3);
+    sweep();
+    assert.deepEqual(port.published, []);
+    assert.equal(port.gauges.find(({ service }) => service === 'kartes')?.waitingCores, 3);
+  });
+
+  it('publishes a backlog of ten times the capacity, and once when it has gone', () => {
+    const { harness, port, sweep } = createOverload(40);
+    sweep();
+    assert.equal(isRefused(port.published.at(-1)), true);
+    assert.equal(port.published[0]?.largestTask.cpuMillis, 4 * CORE);
+    harness.context.active.clear();
+    for (let period = 0; period < 4; period += 1) sweep();
+    assert.equal(port.published.length, 2);
+    assert.deepEqual(port.published[1]?.pools, []);
+  });
+
+  it('publishes at most once a period', () => {
+    const { port, publisher, sweep } = createOverload(40);
+    sweep();
+    publisher.sweep();
+    assert.equal(port.published.length, 1);
+  });
+
+  it('refuses nothing that switched-off VMs can serve once they are moved', () => {
+    const { port, sweep } = createOverload(40, 20);
+    sweep();
+    assert.equal(isRefused(port.published.at(-1)), false);
+  });
+
+  it('publishes nothing while runs of an earlier term may look like waiting work', () => {
+    const { harness, port, sweep } = createOverload(40);
+    harness.context.fleet.register(createTarget('unreported'), harness.now + 4_000);
+    sweep();
+    assert.deepEqual(port.published, []);
+  });
+
+  it('does not count work that misses its objective anyway', () => {
+    const { harness, port, sweep } = createOverload(40);
+    harness.advance(10_000);
+    sweep();
+    assert.deepEqual(port.published, []);
+  });
+});
--- a/packages/execution/test/sweepers.test.ts
+++ b/packages/execution/test/sweepers.test.ts
@@ -8,6 +8,7 @@
 import {
   decodeEndedJob,
   encodeEndedJob,
+  encodeRefusal,
   ENDED_TABLE,
   getIntakePart,
 } from '../src/intake-tables.ts';
@@ -160,4 +161,19 @@
     }
     assert.deepEqual(listRemaining(harness), ['00000000000000b0']);
   });
+
+  it('are removed after a refusal as well, unless the submission was accepted later', async () => {
+    const harness = new TermHarness();
+    const puts = ids.map((id) => ({ ...getRow(id), value: encodeRefusal(Date.now() - DAY_MS) }));
+    for (const put of puts)
+      await harness.store.commit({ conditions: [], puts: [put], removals: [] });
+    harness.addJob('00000000000000b0', [{}]);
+    const purger = new JobPurger(harness.context, harness.store, new PageSizer(1_000));
+    for (let period = 0; period < 10; period += 1) {
+      harness.advance(PERIOD_MS);
+      purger.sweep();
+      await flushPromises();
+    }
+    assert.deepEqual(listRemaining(harness), ['00000000000000b0']);
+  });
 });
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -91,6 +91,11 @@
     return this.#failures >= FAILURES_TO_OPEN;
   }
 
+  /** Records the version of the store that this node has seen by now. */
+  recordVersion(now: number): void {
+    this.#versions.record(this.#store.version, now);
+  }
+
   /** Finds the highest version of the store that this node had seen well before a time. */
   findVersionBefore(arrivedAt: number): number {
     return this.#versions.findBefore(arrivedAt);
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -88,6 +88,8 @@
    * before the first response.
    */
   abstract get now(): number | undefined;
+  /** Highest version that a response has named so far; 0 before the first. */
+  abstract get version(): number;
   /** Applies a transaction and returns its version. */
   abstract commit(transaction: Transaction): Promise<Result<number, StoreFault>>;
   /** Reads rows of one part in key order. */
