--- a/packages/cli/src/explain-command.ts
+++ b/packages/cli/src/explain-command.ts
@@ -20,6 +20,8 @@
   'ledger written again',
   'store lost',
   'store regained',
+  'pool contended',
+  'pool contended no longer',
 ]);
 
 /** Log messages about a target that can affect the runs on it. */
--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -31,4 +31,16 @@
   it('is empty when no line has the id of the request', () => {
     assert.deepEqual(buildTimeline('cc', parseLines(LOG)), []);
   });
+
+  it('shows why a request was refused under load, and when its pool became contended', () => {
+    const log = `
+{"context":{"node":"n1","request":"dd","reason":"hopeless","waitMs":9000,"retryAfterS":4},"message":"submission refused","time":10}
+{"context":{"node":"n2","service":"kartes"},"message":"pool contended no longer","time":12}
+{"context":{"node":"n1","request":"dd"},"message":"submission written","time":20}
+`;
+    assert.deepEqual(
+      buildTimeline('dd', parseLines(log)).map(({ message }) => message),
+      ['submission refused', 'pool contended no longer', 'submission written'],
+    );
+  });
 });
