--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -116,7 +116,6 @@
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const receivedAt = performance.now();
     this.#inFlight += 1;
-    this.#writer.recordVersion(receivedAt);
     try {
       const content = await this.#handleRequest(request, receivedAt);
       sendResponse(response, content, this.#isStopping);
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -8,7 +8,6 @@
 } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { SeenVersions } from './seen-versions.ts';
 
 /** Each row takes two conditions and a put; the store accepts at most 100 entries per transaction. */
 const ROWS_PER_TRANSACTION = 30;
@@ -30,6 +29,12 @@
 /** Milliseconds for which the open circuit breaker refuses writes before one is sent as a probe. */
 const OPEN_MS = 500;
 
+/**
+ * Milliseconds by which a refusal must have been seen before the request that replaces it arrived. A
+ * request that was sent earlier and read late, since this process stood still, does not replace it.
+ */
+const SEEN_MARGIN_MS = 800;
+
 /** Outcome of a write; the values are part of the log event names. */
 export enum WriteOutcome {
   Written = 'written',
@@ -73,7 +78,6 @@
 export class IntakeWriter {
   readonly #store: Store;
   readonly #logger: Logger;
-  readonly #versions = new SeenVersions();
   #pending: PendingWrite[] = [];
   /** Number of transactions in flight by part. */
   readonly #inFlight = new Map<string, number>();
@@ -91,14 +95,9 @@
     return this.#failures >= FAILURES_TO_OPEN;
   }
 
-  /** Records the version of the store that this node has seen by now. */
-  recordVersion(now: number): void {
-    this.#versions.record(this.#store.version, now);
-  }
-
   /** Finds the highest version of the store that this node had seen well before a time. */
   findVersionBefore(arrivedAt: number): number {
-    return this.#versions.findBefore(arrivedAt);
+    return this.#store.seenVersions.findAt(arrivedAt - SEEN_MARGIN_MS);
   }
 
   /** Writes a row; resolves when the outcome is known or the deadline has passed. */
@@ -181,7 +180,6 @@
     });
     if (result.isOk()) {
       this.#recordSuccess();
-      this.#versions.record(result.value, performance.now());
       for (const write of batch) write.resolve(WriteOutcome.Written);
       return;
     }
@@ -214,7 +212,8 @@
    * refusal, and those without a conflict of their own, are resent.
    */
   #resolveConflict(fault: StoreFault, batch: readonly PendingWrite[]): void {
-    for (const { version } of fault.rows) this.#versions.record(version, performance.now());
+    const now = performance.now();
+    for (const { version } of fault.rows) this.#store.seenVersions.record(version, now);
     const remaining: PendingWrite[] = [];
     for (const write of batch) {
       const outcome = findConflict(write, fault.rows);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -259,7 +259,12 @@
   #createOwnership(settings: NodeSettings): Ownership {
     const { host, port } = settings.peerEndpoint;
     return new Ownership({
-      store: new HttpStore(() => this.#settings.current.storeAddress, this.#leaseHttpClient),
+      // The lease feed answers every few hundred milliseconds, so that versions are seen soon.
+      store: new HttpStore(
+        () => this.#settings.current.storeAddress,
+        this.#leaseHttpClient,
+        this.#store.seenVersions,
+      ),
       logger: this.#logger,
       node: settings.node,
       incarnation: this.#incarnation,
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -1,4 +1,5 @@
 import {
+  SeenVersions,
   Store,
   StoreFaultKind,
   type FeedPage,
@@ -46,6 +47,7 @@
   transactionMs = 0;
   /** Number of transactions that were sent, whatever their outcome. */
   commitCount = 0;
+  readonly seenVersions = new SeenVersions();
   readonly #rows = new Map<string, Row>();
   #history: Row[] = [];
   #historyStart = 0;
@@ -166,6 +168,7 @@
     );
     if (!isMet) return err(createFault(StoreFaultKind.Conflict, present));
     this.#version += 1;
+    this.seenVersions.record(this.#version, performance.now());
     for (const put of transaction.puts)
       this.#set({ ...put, version: this.#version, isDeleted: false });
     for (const removal of transaction.removals) {
--- a/packages/ingress/src/seen-versions.ts
+++ b/packages/store/src/seen-versions.ts
@@ -1,8 +1,7 @@
-/**
- * Milliseconds by which a version must have been seen before a request arrived. A request that was
- * sent earlier and read late, since this process stood still, does not count as later than the version.
- */
-const MARGIN_MS = 800;
+/** Milliseconds for which the history is kept. */
+const HISTORY_MS = 2_000;
+/** Least milliseconds between two entries of the history, but for the latest one. */
+const RESOLUTION_MS = 100;
 
 /** Version of the store, with the monotonic time in milliseconds at which it was seen. */
 interface SeenVersion {
@@ -10,7 +9,7 @@
   readonly at: number;
 }
 
-/** Remembers which version of the store this node had seen at which time. */
+/** Remembers which version of the store this process had seen at which time. */
 export class SeenVersions {
   /** Latest version, and the steps before it, in order of time. */
   #seen: SeenVersion[] = [];
@@ -19,17 +18,17 @@
   record(version: number, now: number): void {
     const last = this.#seen.at(-1);
     if (last !== undefined && version <= last.version) return;
-    const firstNeeded = this.#seen.findLastIndex(({ at }) => at <= now - MARGIN_MS);
+    const firstNeeded = this.#seen.findLastIndex(({ at }) => at <= now - HISTORY_MS);
     this.#seen = this.#seen.slice(Math.max(0, firstNeeded));
     const previous = this.#seen.at(-2);
     // A version that was seen shortly after the one before it replaces the latest one.
-    if (previous !== undefined && last !== undefined && last.at < previous.at + MARGIN_MS / 8)
+    if (previous !== undefined && last !== undefined && last.at < previous.at + RESOLUTION_MS)
       this.#seen.pop();
     this.#seen.push({ version, at: now });
   }
 
-  /** Finds the highest version seen well before a request arrived; 0 if none was. */
-  findBefore(arrivedAt: number): number {
-    return this.#seen.findLast(({ at }) => at <= arrivedAt - MARGIN_MS)?.version ?? 0;
+  /** Finds the highest version seen by a time of the last two seconds; 0 if none was. */
+  findAt(time: number): number {
+    return this.#seen.findLast(({ at }) => at <= time)?.version ?? 0;
   }
 }
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -1,4 +1,5 @@
 import type { Result } from 'neverthrow';
+import type { SeenVersions } from './seen-versions.ts';
 
 /** Identifies one row. */
 export interface RowKey {
@@ -88,8 +89,8 @@
    * before the first response.
    */
   abstract get now(): number | undefined;
-  /** Highest version that a response has named so far; 0 before the first. */
-  abstract get version(): number;
+  /** Versions that responses have named. */
+  abstract get seenVersions(): SeenVersions;
   /** Applies a transaction and returns its version. */
   abstract commit(transaction: Transaction): Promise<Result<number, StoreFault>>;
   /** Reads rows of one part in key order. */
