--- a/packages/execution/src/admission-publisher.ts
+++ b/packages/execution/src/admission-publisher.ts
@@ -58,7 +58,6 @@
     if (this.#port === undefined || now < this.#nextAt) return;
     this.#nextAt = now + PUBLISH_PERIOD_MS;
     const routes = this.#context.getOperatorView().configuration?.routes ?? [];
-    if (!isFleetKnown(this.#context)) return;
     const supply = computePoolSupply(this.#context, this.#listVms());
     const states = buildPoolStates(this.#context, supply);
     const waits = states.map((state) => this.#growth.apply(computePoolWaits(state)));
@@ -90,15 +89,6 @@
   }
 }
 
-/**
- * Whether all runs in the fleet are known. Until then, tasks that a predecessor started look as if
- * they were waiting.
- */
-function isFleetKnown({ clock, fleet, reconciliation }: OwnerContext): boolean {
-  if (clock.now >= reconciliation.deadline) return true;
-  return [...fleet.targets].every((target) => !target.isRegistered || target.areRunsKnown);
-}
-
 /** Computes the wait that every caller of a pool can bear, in milliseconds. */
 function computeTolerableWaitMs(service: string, routes: readonly Route[]): number {
   const objectives = routes
