--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admission-publisher.ts';
 export * from './context.ts';
 export { CopyOutcome } from './copy-log.ts';
 export * from './intake-tables.ts';
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -3,6 +3,7 @@
 import type { PageSizer, Row, Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
+import { AdmissionPublisher, type AdmissionPort } from './admission-publisher.ts';
 import { AdviceCache } from './advice-cache.ts';
 import { JobPurger } from './job-purger.ts';
 import { buildContext } from './build-context.ts';
@@ -68,6 +69,8 @@
   readonly observeDuration?: (route: string, ratio: number) => void;
   /** Called for each copy of a run that starts and that ends. */
   readonly onCopy?: (outcome: CopyOutcome) => void;
+  /** Undefined if nothing is refused for load. */
+  readonly admissionPort: AdmissionPort | undefined;
   /** Called when another node has taken over, but not after the owner was closed. */
   readonly onDeposed: (reason: string) => void;
 }
@@ -142,6 +145,11 @@
       new LoadReporter(this.#context),
       this.#context.durationRecorder,
       this.#durationStore,
+      new AdmissionPublisher(
+        this.#context,
+        options.admissionPort,
+        () => this.#vmManager?.listVms() ?? [],
+      ),
     ];
     this.#intake = new Intake({
       context: this.#context,
