--- a/packages/execution/src/pool-arrivals.ts
+++ b/packages/execution/src/pool-arrivals.ts
@@ -1,27 +1,34 @@
-import type { Job } from '@currantgap/jobs';
-import { ArrivalMeter, type ArrivalLoad } from '@currantgap/scheduling';
+import { DemandHistory } from '@currantgap/fleet';
+import { computeCriticalPathMs, type Job } from '@currantgap/jobs';
+import type { Route } from '@currantgap/model';
+import type { DurationModel } from '@currantgap/scheduling';
 
-/** Measures the arrival rate of work for each pool. */
+/** Keeps the demand history of each pool. */
 export class PoolArrivals {
-  readonly #meters = new Map<string, ArrivalMeter>();
+  readonly #histories = new Map<string, DemandHistory>();
 
-  /** Records a submission for a service; persistent and scheduled jobs do not count as arrivals. */
-  record(service: string, job: Job, now: number): void {
+  /** Records a submission on a route; persistent and scheduled jobs do not count as arrivals. */
+  record(route: Route, job: Job, durations: DurationModel, now: number): void {
     if (job.isPersistent || job.isScheduled) return;
+    const { steps } = job.stored.submission;
     let cpuWork = 0;
     let memoryWork = 0;
-    for (const step of job.stored.submission.steps) {
+    for (const step of steps) {
       const taskMs = step.count * step.estimatedMs;
       cpuWork += taskMs * step.request.cpuMillis;
       memoryWork += taskMs * step.request.memoryMb;
     }
-    const meter = this.#meters.get(service) ?? new ArrivalMeter();
-    this.#meters.set(service, meter);
-    meter.record({ at: now, cpuWork, memoryWork });
+    const criticalPathMs = computeCriticalPathMs(steps, (step) =>
+      durations.estimateTaskMs(route.name, step),
+    );
+    const slackMs = (route.stretch - 1) * criticalPathMs + route.latencyObjectiveMs;
+    const history = this.#histories.get(route.service) ?? new DemandHistory();
+    this.#histories.set(route.service, history);
+    history.record({ at: now, cpuWork, memoryWork, slackMs });
   }
 
-  /** Computes the steady-state load of a service at its current arrival rate. */
-  computeLoad(service: string, now: number): ArrivalLoad {
-    return this.#meters.get(service)?.computeLoad(now) ?? { cpuMillis: 0, memoryMb: 0 };
+  /** Finds the demand history of a service; undefined if nothing has arrived for it. */
+  find(service: string): DemandHistory | undefined {
+    return this.#histories.get(service);
   }
 }
--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -1,16 +1,12 @@
-import { decidePoolSizes, type PoolDemand } from '@currantgap/fleet';
+import { computeBringUpMs, decidePoolSizes, type PoolDemand } from '@currantgap/fleet';
 import { TargetState, VmState, type Vm } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
-import type { JobRecord } from './job-index.ts';
+import { computeBacklogs, type PoolBacklog } from './pool-backlog.ts';
+import { PoolDemandEstimator } from './pool-demand.ts';
 import type { PoolLoad } from './pool-load.ts';
 import type { VmController } from './vm-controller.ts';
 import { VmOccupancy } from './vm-occupancy.ts';
 
-/** Milliseconds for which a pool must have surplus VMs before one is switched off. */
-const SURPLUS_MS = 2_000;
-/** Share of the waiting work that is added to the load computed from the arrival rate. */
-const BACKLOG_SHARE = 0.5;
-
 /** A VM that the pool sizer counts and may move. */
 interface MovableVm {
   readonly vm: Vm;
@@ -23,7 +19,7 @@
   readonly #context: OwnerContext;
   readonly #vmController: VmController;
   #hasSeenJobs = false;
-  readonly #surplusSince = new Map<string, number>();
+  readonly #estimators = new Map<string, PoolDemandEstimator>();
 
   constructor(context: OwnerContext, vmController: VmController) {
     this.#context = context;
@@ -41,8 +37,9 @@
     const members = this.#groupVms();
     const pools = services.filter(({ isSpare }) => !isSpare).map(({ name }) => name);
     const total = [...members.values()].reduce((sum, vms) => sum + vms.length, 0);
+    const backlogs = computeBacklogs(this.#context, computeBringUpMs(this.#context.bounds.moveMs));
     const demands = pools.map((pool) =>
-      this.#buildDemand(pool, loads.get(pool), members.get(pool)),
+      this.#buildDemand(pool, loads.get(pool), backlogs.get(pool), members.get(pool)),
     );
     const sizes = decidePoolSizes(demands, total);
     this.#move(pools, sizes, members, spare);
@@ -74,26 +71,20 @@
   #buildDemand(
     service: string,
     load: PoolLoad | undefined,
+    backlog: PoolBacklog | undefined,
     members: readonly MovableVm[] = [],
   ): PoolDemand {
-    const { active, arrivals, clock } = this.#context;
-    const hostingVms = members.filter(({ hasPersistent }) => hasPersistent).length;
-    const persistentVms = Math.max(hostingVms, computeRequiredVms(active.values(), service));
-    const vmCapacity = members[0]?.vm.capacity;
-    if (load === undefined || vmCapacity === undefined)
-      return { service, persistentVms, demandVms: 0 };
-    const arriving = arrivals.computeLoad(service, clock.now);
-    const cpuMillis = load.used.cpuMillis + load.waiting.cpuMillis;
-    const memoryMb = load.used.memoryMb + load.waiting.memoryMb;
-    const expectedCpuMillis =
-      load.persistent.cpuMillis + arriving.cpuMillis + BACKLOG_SHARE * load.waiting.cpuMillis;
-    const expectedMemoryMb =
-      load.persistent.memoryMb + arriving.memoryMb + BACKLOG_SHARE * load.waiting.memoryMb;
-    const demandVms = Math.max(
-      Math.max(cpuMillis, expectedCpuMillis) / vmCapacity.cpuMillis,
-      Math.max(memoryMb, expectedMemoryMb) / vmCapacity.memoryMb,
-    );
-    return { service, persistentVms, demandVms };
+    const estimator =
+      this.#estimators.get(service) ??
+      new PoolDemandEstimator(this.#context, service, members.length);
+    this.#estimators.set(service, estimator);
+    return estimator.estimate({
+      load,
+      backlog,
+      heldVms: members.length,
+      hostingVms: members.filter(({ hasPersistent }) => hasPersistent).length,
+      vmCapacity: members[0]?.vm.capacity,
+    });
   }
 
   #move(
@@ -102,17 +93,14 @@
     members: ReadonlyMap<string, MovableVm[]>,
     spare: string,
   ): void {
-    const { now } = this.#context.clock;
-    const donors: { pool: string; member: MovableVm }[] = [];
+    const donors: { member: MovableVm }[] = [];
     const receivers: string[] = [];
     for (const pool of pools) {
       const vms = members.get(pool) ?? [];
       const surplus = vms.length - (sizes.get(pool) ?? vms.length);
       for (let missing = -surplus; missing > 0; missing -= 1) receivers.push(pool);
-      if (surplus <= 0) this.#surplusSince.delete(pool);
-      else if (!this.#surplusSince.has(pool)) this.#surplusSince.set(pool, now);
       const movable = vms.filter((vm) => this.#isMovable(vm)).sort((a, b) => a.tasks - b.tasks);
-      for (const member of movable.slice(0, Math.max(0, surplus))) donors.push({ pool, member });
+      for (const member of movable.slice(0, Math.max(0, surplus))) donors.push({ member });
     }
     donors.sort((left, right) => left.member.tasks - right.member.tasks);
     const spareVms = (members.get(spare) ?? []).filter((vm) => this.#isMovable(vm));
@@ -121,9 +109,8 @@
       if (donor === undefined) return;
       this.#vmController.startPlan(donor.vm.name, { kind: 'move', pool });
     }
-    for (const { pool, member } of donors) {
-      const since = this.#surplusSince.get(pool) ?? now;
-      if (member.tasks > 0 || now < since + SURPLUS_MS) continue;
+    for (const { member } of donors) {
+      if (member.tasks > 0) continue;
       this.#vmController.startPlan(member.vm.name, { kind: 'move', pool: spare });
     }
   }
@@ -146,15 +133,3 @@
   if (first !== undefined && (isIdle || spareVms.length === 0)) return donors.shift()?.member;
   return spareVms.shift();
 }
-
-/** Computes how many VMs the persistent steps of a service need under their anti-affinity rules. */
-function computeRequiredVms(records: Iterable<JobRecord>, service: string): number {
-  let required = 0;
-  for (const { job, route } of records) {
-    if (route?.service !== service) continue;
-    for (const { isPersistent, antiAffinity, count } of job.stored.submission.steps) {
-      if (isPersistent) required = Math.max(required, antiAffinity > 0 ? count / antiAffinity : 1);
-    }
-  }
-  return Math.ceil(required);
-}
