--- a/packages/execution/src/pool-backlog.ts
+++ b/packages/execution/src/pool-backlog.ts
@@ -30,7 +30,10 @@
       const canWait =
         step.definition.isPersistent || computeSpareMs(context, record, step) >= bringUpMs;
       const footprint = getFootprint(step.definition);
-      for (const _ of waiting) (canWait ? backlog.patient : backlog.late).add(footprint);
+      const sum = canWait ? backlog.patient : backlog.late;
+      waiting.forEach(() => {
+        sum.add(footprint);
+      });
     }
   }
   return backlogs;
--- a/packages/execution/src/pool-demand.ts
+++ b/packages/execution/src/pool-demand.ts
@@ -15,7 +15,7 @@
 /** Share of the waiting work that is added to the load computed from the arrival rate. */
 const BACKLOG_SHARE = 0.5;
 /** Share of waiting tasks that count if moved VMs come too late for their objective. */
-const LATE_SHARE = 0.5;
+const LATE_SHARE = 0.25;
 /** Times the bring-up time for which a pool keeps VMs that it needed. */
 const KEEP_FACTOR = 1.5;
 /** Relative change of a pool's wanted size that is logged. */
@@ -77,7 +77,7 @@
     const demandVms = this.#computeDemandVms(inputs);
     const neededVms = computeNeededVms({ demandVms });
     const keptVms = Math.min(heldVms, this.#peak.record(clock.now, neededVms));
-    this.#log({
+    this.#writeChange({
       neededVms,
       standbyVms: Math.ceil(standbyVms),
       keptVms,
@@ -86,7 +86,7 @@
       heightVms: Math.round(heightVms),
       slackMs: Math.round(history?.slackMs ?? -1),
     });
-    return { service, persistentVms, demandVms, standbyVms, keptVms };
+    return { service, persistentVms, demandVms, standbyVms: 0, keptVms };
   }
 
   #computeDemandVms({ load, backlog, vmCapacity }: PoolInputs): number {
@@ -100,14 +100,14 @@
       const present = (load === undefined ? 0 : get(load.used)) + patient + LATE_SHARE * late;
       const persistent = load === undefined ? 0 : get(load.persistent);
       const arriving = expected === undefined ? 0 : get(expected);
-      return Math.max(present, persistent + arriving + BACKLOG_SHARE * (patient + late));
+      return Math.max(present, persistent + arriving + BACKLOG_SHARE * patient + LATE_SHARE * late);
     };
     const cpuMillis = getAmount((resources) => resources.cpuMillis);
     const memoryMb = getAmount((resources) => resources.memoryMb);
     return countVms({ cpuMillis, memoryMb }, vmCapacity);
   }
 
-  #log(fields: Readonly<Record<string, number>> & { readonly neededVms: number }): void {
+  #writeChange(fields: Readonly<Record<string, number>> & { readonly neededVms: number }): void {
     const wantedVms = Math.max(fields.neededVms, fields.standbyVms ?? 0, fields.keptVms ?? 0);
     const changeVms = Math.abs(wantedVms - this.#loggedVms);
     if (changeVms < Math.max(LOGGED_CHANGE_VMS, LOGGED_CHANGE * this.#loggedVms)) return;
