--- a/packages/execution/src/intake.ts
+++ b/packages/execution/src/intake.ts
@@ -44,7 +44,7 @@
   }
 
   #applyRow(row: Row, isInherited: boolean): void {
-    const { active, arrivals, clock, durations, jobs, logger } = this.#context;
+    const { active, arrivals, clock, jobs, logger } = this.#context;
     const change = jobs.applyRow(row);
     if (change === undefined) return;
     if (change.kind === 'orphaned') {
@@ -65,7 +65,7 @@
       const record = this.#buildRecord(job, isInherited);
       active.set(job.id, record);
       if (!isInherited && record.route !== undefined) {
-        arrivals.record(record.route, job, durations, clock.now);
+        arrivals.record(record.route.service, job, clock.now);
       }
     }
   }
--- a/packages/execution/src/pool-demand.ts
+++ b/packages/execution/src/pool-demand.ts
@@ -1,23 +1,14 @@
-import {
-  computeBringUpMs,
-  computeNeededVms,
-  computeStandbyVms,
-  RecentPeak,
-  type PoolDemand,
-} from '@currantgap/fleet';
+import { computeNeededVms, RecentPeak, type PoolDemand } from '@currantgap/fleet';
 import type { Resources } from '@currantgap/model';
 import type { ArrivalLoad } from '@currantgap/scheduling';
 import type { OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
-import type { PoolBacklog } from './pool-backlog.ts';
 import type { PoolLoad } from './pool-load.ts';
 
 /** Share of the waiting work that is added to the load computed from the arrival rate. */
 const BACKLOG_SHARE = 0.5;
-/** Share of waiting tasks that count if moved VMs come too late for their objective. */
-const LATE_SHARE = 0.25;
-/** Times the bring-up time for which a pool keeps VMs that it needed. */
-const KEEP_FACTOR = 1.5;
+/** Times the duration of a move for which a pool keeps VMs that it needed. */
+const KEEP_FACTOR = 2;
 /** Relative change of a pool's wanted size that is logged. */
 const LOGGED_CHANGE = 0.25;
 /** Change of a pool's wanted size that is too small to be logged, in VMs. */
@@ -26,7 +17,6 @@
 /** What is known about a pool in one sweep. */
 export interface PoolInputs {
   readonly load: PoolLoad | undefined;
-  readonly backlog: PoolBacklog | undefined;
   /** VMs in the pool, or moving to it. */
   readonly heldVms: number;
   /** Those of them that run persistent tasks. */
@@ -35,85 +25,72 @@
   readonly vmCapacity: Resources | undefined;
 }
 
-/** Estimates the VMs that one pool needs now, holds ready for a rise, and should not give back yet. */
+/** Estimates the VMs that one pool needs now, and those that it should not give back yet. */
 export class PoolDemandEstimator {
   readonly #context: OwnerContext;
   readonly #service: string;
-  readonly #bringUpMs: number;
   readonly #peak: RecentPeak;
-  /** VMs of the pool when it was first seen, as operators or an earlier owner left it. */
+  /** VMs that operators gave the pool; 0 if an earlier owner has sized it. */
   readonly #givenVms: number;
-  readonly #firstSeenAt: number;
   #loggedVms = 0;
 
-  constructor(context: OwnerContext, service: string, givenVms: number) {
+  constructor(context: OwnerContext, service: string, heldVms: number) {
+    const { bounds, clock, term } = context;
     this.#context = context;
     this.#service = service;
-    this.#givenVms = givenVms;
-    this.#firstSeenAt = context.clock.now;
-    this.#bringUpMs = computeBringUpMs(context.bounds.moveMs);
-    this.#peak = new RecentPeak(KEEP_FACTOR * this.#bringUpMs);
+    this.#peak = new RecentPeak(KEEP_FACTOR * bounds.moveMs);
+    this.#givenVms = term.predecessor === undefined ? heldVms : 0;
+    // What an earlier owner needed is kept until this one has seen the demand.
+    if (term.predecessor !== undefined) this.#peak.record(clock.now, heldVms);
   }
 
   /** Estimates the demand. */
   estimate(inputs: PoolInputs): PoolDemand {
     const { active, arrivals, clock } = this.#context;
     const service = this.#service;
-    const { heldVms, hostingVms, vmCapacity } = inputs;
+    const { heldVms, hostingVms } = inputs;
     const persistentVms = Math.max(hostingVms, computeRequiredVms(active.values(), service));
-    const history = arrivals.find(service);
-    history?.observe(clock.now);
-    const height = history?.computeHeight(clock.now);
-    const heightVms = vmCapacity && height ? countVms(height, vmCapacity) : 0;
-    const persistent = inputs.load?.persistent;
-    const standbyVms = computeStandbyVms({
-      slackMs: history?.slackMs,
-      bringUpMs: this.#bringUpMs,
-      heightVms,
-      persistentLoadVms: vmCapacity && persistent ? countVms(persistent, vmCapacity) : 0,
-      givenVms: this.#givenVms,
-      ageMs: clock.now - this.#firstSeenAt,
-    });
+    arrivals.find(service)?.observe(clock.now);
     const demandVms = this.#computeDemandVms(inputs);
     const neededVms = computeNeededVms({ demandVms });
     const keptVms = Math.min(heldVms, this.#peak.record(clock.now, neededVms));
-    this.#writeChange({
-      neededVms,
-      standbyVms: Math.ceil(standbyVms),
-      keptVms,
-      persistentVms,
-      heldVms,
-      heightVms: Math.round(heightVms),
-      slackMs: Math.round(history?.slackMs ?? -1),
-    });
-    return { service, persistentVms, demandVms, standbyVms: 0, keptVms };
+    this.#writeChange(inputs, { neededVms, keptVms, persistentVms });
+    return { service, persistentVms, demandVms, keptVms };
   }
 
-  #computeDemandVms({ load, backlog, vmCapacity }: PoolInputs): number {
-    if (vmCapacity === undefined) return 0;
+  #computeDemandVms({ load, vmCapacity }: PoolInputs): number {
+    if (load === undefined || vmCapacity === undefined) return 0;
     const { arrivals, clock } = this.#context;
-    const history = arrivals.find(this.#service);
-    const expected = history?.computeExpectedLoad(clock.now, this.#bringUpMs);
-    const getAmount = (get: (resources: ArrivalLoad) => number): number => {
-      const patient = backlog === undefined ? 0 : get(backlog.patient);
-      const late = backlog === undefined ? 0 : get(backlog.late);
-      const present = (load === undefined ? 0 : get(load.used)) + patient + LATE_SHARE * late;
-      const persistent = load === undefined ? 0 : get(load.persistent);
-      const arriving = expected === undefined ? 0 : get(expected);
-      return Math.max(present, persistent + arriving + BACKLOG_SHARE * patient + LATE_SHARE * late);
+    const arriving = arrivals.find(this.#service)?.computeExpectedLoad(clock.now, {
+      cpuMillis: this.#givenVms * vmCapacity.cpuMillis,
+      memoryMb: this.#givenVms * vmCapacity.memoryMb,
+    });
+    const { persistent, used, waiting } = load;
+    const compute = (get: (load: ArrivalLoad) => number): number => {
+      const expected = arriving === undefined ? 0 : get(arriving);
+      return Math.max(
+        get(used) + get(waiting),
+        get(persistent) + expected + BACKLOG_SHARE * get(waiting),
+      );
     };
-    const cpuMillis = getAmount((resources) => resources.cpuMillis);
-    const memoryMb = getAmount((resources) => resources.memoryMb);
+    const cpuMillis = compute((resources) => resources.cpuMillis);
+    const memoryMb = compute((resources) => resources.memoryMb);
     return countVms({ cpuMillis, memoryMb }, vmCapacity);
   }
 
-  #writeChange(fields: Readonly<Record<string, number>> & { readonly neededVms: number }): void {
-    const wantedVms = Math.max(fields.neededVms, fields.standbyVms ?? 0, fields.keptVms ?? 0);
+  #writeChange(
+    { heldVms, vmCapacity }: PoolInputs,
+    sizes: { neededVms: number; keptVms: number; persistentVms: number },
+  ): void {
+    const wantedVms = Math.max(sizes.neededVms, sizes.keptVms, sizes.persistentVms);
     const changeVms = Math.abs(wantedVms - this.#loggedVms);
     if (changeVms < Math.max(LOGGED_CHANGE_VMS, LOGGED_CHANGE * this.#loggedVms)) return;
     this.#loggedVms = wantedVms;
-    const { logger } = this.#context;
-    logger.writeInfo('pool demand changed', { service: this.#service, wantedVms, ...fields });
+    const { arrivals, clock, logger } = this.#context;
+    const height = arrivals.find(this.#service)?.computeHeight(clock.now);
+    const heightVms = height && vmCapacity ? Math.round(countVms(height, vmCapacity)) : 0;
+    const service = this.#service;
+    logger.writeInfo('pool demand changed', { service, wantedVms, heldVms, ...sizes, heightVms });
   }
 }
 
--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -1,7 +1,6 @@
-import { computeBringUpMs, decidePoolSizes, type PoolDemand } from '@currantgap/fleet';
+import { decidePoolSizes, type PoolDemand } from '@currantgap/fleet';
 import { TargetState, VmState, type Vm } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
-import { computeBacklogs, type PoolBacklog } from './pool-backlog.ts';
 import { PoolDemandEstimator } from './pool-demand.ts';
 import type { PoolLoad } from './pool-load.ts';
 import type { VmController } from './vm-controller.ts';
@@ -37,9 +36,8 @@
     const members = this.#groupVms();
     const pools = services.filter(({ isSpare }) => !isSpare).map(({ name }) => name);
     const total = [...members.values()].reduce((sum, vms) => sum + vms.length, 0);
-    const backlogs = computeBacklogs(this.#context, computeBringUpMs(this.#context.bounds.moveMs));
     const demands = pools.map((pool) =>
-      this.#buildDemand(pool, loads.get(pool), backlogs.get(pool), members.get(pool)),
+      this.#buildDemand(pool, loads.get(pool), members.get(pool)),
     );
     const sizes = decidePoolSizes(demands, total);
     this.#move(pools, sizes, members, spare);
@@ -71,7 +69,6 @@
   #buildDemand(
     service: string,
     load: PoolLoad | undefined,
-    backlog: PoolBacklog | undefined,
     members: readonly MovableVm[] = [],
   ): PoolDemand {
     const estimator =
@@ -80,7 +77,6 @@
     this.#estimators.set(service, estimator);
     return estimator.estimate({
       load,
-      backlog,
       heldVms: members.length,
       hostingVms: members.filter(({ hasPersistent }) => hasPersistent).length,
       vmCapacity: members[0]?.vm.capacity,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -2,5 +2,4 @@
 export * from './disruption.ts';
 export * from './maintenance.ts';
 export * from './sizing.ts';
-export * from './standby.ts';
 export * from './recent-peak.ts';
--- a/packages/fleet/src/sizing.ts
+++ b/packages/fleet/src/sizing.ts
@@ -1,15 +1,13 @@
 import { computeMaxMinAllocation } from '@currantgap/sharing';
 import type { ServiceName } from '@currantgap/model';
 
-/** Demand of a pool, in VMs of its usual size; all but `persistentVms` may be fractional. */
+/** Demand of a pool, in VMs of its usual size. */
 export interface PoolDemand {
   readonly service: ServiceName;
   /** VMs that must stay in the pool for its persistent tasks. */
   readonly persistentVms: number;
-  /** VMs that running, waiting and expected work fills. */
+  /** VMs that running, waiting and expected work fills; may be fractional. */
   readonly demandVms: number;
-  /** VMs to keep for a rise of demand, in all; 0 if none. */
-  readonly standbyVms?: number;
   /** VMs that the pool has and should not give back yet, in all; 0 if none. */
   readonly keptVms?: number;
 }
@@ -23,9 +21,8 @@
 
 /**
  * Decides how many of `totalVms` each pool should have. What there is goes to persistent tasks first,
- * then to current demand, then to standby, and last to pools that keep VMs for a while. VMs beyond
- * these are to be switched off. The sizes add up to more than `totalVms` if the minimum sizes of the
- * pools do.
+ * then to current demand, and last to pools that keep VMs for a while. VMs beyond these are to be
+ * switched off. The sizes add up to more than `totalVms` if the minimum sizes of the pools do.
  */
 export function decidePoolSizes(
   pools: readonly PoolDemand[],
@@ -35,8 +32,7 @@
     pools.map(({ service, persistentVms }) => [service, Math.max(MINIMUM_POOL_VMS, persistentVms)]),
   );
   addClaims(sizes, totalVms, pools, computeNeededVms);
-  addClaims(sizes, totalVms, pools, ({ standbyVms = 0 }) => Math.ceil(standbyVms));
-  addClaims(sizes, totalVms, pools, ({ keptVms = 0 }) => Math.ceil(keptVms));
+  addClaims(sizes, totalVms, pools, ({ keptVms = 0 }) => keptVms);
   return sizes;
 }
 
--- a/packages/scheduling/src/arrivals.ts
+++ b/packages/scheduling/src/arrivals.ts
@@ -15,13 +15,11 @@
   { lengthMs: 2_000, minimumArrivals: 6 },
 ];
 const LONGEST_WINDOW_MS = 2_000;
-/** Length of the window whose rate shows a rise when it is far above that of the longest window. */
-const RISE_WINDOW_MS = 1_000;
 /**
  * Weight of a new submission in the moving average of the work per submission. The first submissions
  * are averaged with equal weights.
  */
-const SMOOTHING_FACTOR = 0.05;
+const SMOOTHING_FACTOR = 0.1;
 
 /** Arrival of a submission. */
 interface Arrival {
@@ -75,24 +73,10 @@
     return this.#buildLoad(arrivalsPerMs);
   }
 
-  /**
-   * Computes the load at the rate of the longest window, or at that of a shorter one if it is higher
-   * by more than chance. It shows a rise later than `computeLoad`, but seldom one that is none.
-   */
-  computeSteadyLoad(now: number): ArrivalLoad {
-    const count = this.#countSince(now - RISE_WINDOW_MS);
-    const risenPerMs = (count - Math.sqrt(count)) / RISE_WINDOW_MS;
-    const meanPerMs = this.#countSince(now - LONGEST_WINDOW_MS) / LONGEST_WINDOW_MS;
-    return this.#buildLoad(Math.max(meanPerMs, risenPerMs));
-  }
-
-  /** Computes the load at the rate of the longest window. */
+  /** Computes the load at the rate of the longest window, which lags behind but varies less. */
   computeMeanLoad(now: number): ArrivalLoad {
-    return this.#buildLoad(this.#countSince(now - LONGEST_WINDOW_MS) / LONGEST_WINDOW_MS);
-  }
-
-  #countSince(since: number): number {
-    return this.#arrivalTimes.filter((at) => at > since).length;
+    const count = this.#arrivalTimes.filter((at) => at > now - LONGEST_WINDOW_MS).length;
+    return this.#buildLoad(count / LONGEST_WINDOW_MS);
   }
 
   #buildLoad(arrivalsPerMs: number): ArrivalLoad {
