--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -26,8 +26,6 @@
   readonly remoteFactor: number;
   /** Time for which the state of an ended job stays readable. */
   readonly statusMs: number;
-  /** Time that a VM takes to move to another pool. */
-  readonly moveMs: number;
   /** Shortest time between orders of two lease holders for the same VM. */
   readonly holderChangeMs: number;
 }
--- a/packages/execution/src/pool-arrivals.ts
+++ b/packages/execution/src/pool-arrivals.ts
@@ -1,9 +1,9 @@
-import { DemandHistory } from '@currantgap/fleet';
 import type { Job } from '@currantgap/jobs';
+import { ArrivalMeter, type ArrivalLoad } from '@currantgap/scheduling';
 
-/** Keeps the demand history of each pool. */
+/** Measures the arrival rate of work for each pool. */
 export class PoolArrivals {
-  readonly #histories = new Map<string, DemandHistory>();
+  readonly #meters = new Map<string, ArrivalMeter>();
 
   /** Records a submission for a service; persistent and scheduled jobs do not count as arrivals. */
   record(service: string, job: Job, now: number): void {
@@ -15,13 +15,13 @@
       cpuWork += taskMs * step.request.cpuMillis;
       memoryWork += taskMs * step.request.memoryMb;
     }
-    const history = this.#histories.get(service) ?? new DemandHistory();
-    this.#histories.set(service, history);
-    history.record({ at: now, cpuWork, memoryWork });
+    const meter = this.#meters.get(service) ?? new ArrivalMeter();
+    this.#meters.set(service, meter);
+    meter.record({ at: now, cpuWork, memoryWork });
   }
 
-  /** Finds the demand history of a service; undefined if nothing has arrived for it. */
-  find(service: string): DemandHistory | undefined {
-    return this.#histories.get(service);
+  /** Computes the steady-state load of a service at its current arrival rate. */
+  computeLoad(service: string, now: number): ArrivalLoad {
+    return this.#meters.get(service)?.computeLoad(now) ?? { cpuMillis: 0, memoryMb: 0 };
   }
 }
--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -1,11 +1,16 @@
 import { decidePoolSizes, type PoolDemand } from '@currantgap/fleet';
 import { TargetState, VmState, type Vm } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
-import { PoolDemandEstimator } from './pool-demand.ts';
+import type { JobRecord } from './job-index.ts';
 import type { PoolLoad } from './pool-load.ts';
 import type { VmController } from './vm-controller.ts';
 import { VmOccupancy } from './vm-occupancy.ts';
 
+/** Milliseconds for which a pool must have surplus VMs before one is switched off. */
+const SURPLUS_MS = 2_000;
+/** Share of the waiting work that is added to the load computed from the arrival rate. */
+const BACKLOG_SHARE = 0.5;
+
 /** A VM that the pool sizer counts and may move. */
 interface MovableVm {
   readonly vm: Vm;
@@ -18,7 +23,7 @@
   readonly #context: OwnerContext;
   readonly #vmController: VmController;
   #hasSeenJobs = false;
-  readonly #estimators = new Map<string, PoolDemandEstimator>();
+  readonly #surplusSince = new Map<string, number>();
 
   constructor(context: OwnerContext, vmController: VmController) {
     this.#context = context;
@@ -71,16 +76,24 @@
     load: PoolLoad | undefined,
     members: readonly MovableVm[] = [],
   ): PoolDemand {
-    const estimator =
-      this.#estimators.get(service) ??
-      new PoolDemandEstimator(this.#context, service, members.length);
-    this.#estimators.set(service, estimator);
-    return estimator.estimate({
-      load,
-      heldVms: members.length,
-      hostingVms: members.filter(({ hasPersistent }) => hasPersistent).length,
-      vmCapacity: members[0]?.vm.capacity,
-    });
+    const { active, arrivals, clock } = this.#context;
+    const hostingVms = members.filter(({ hasPersistent }) => hasPersistent).length;
+    const persistentVms = Math.max(hostingVms, computeRequiredVms(active.values(), service));
+    const vmCapacity = members[0]?.vm.capacity;
+    if (load === undefined || vmCapacity === undefined)
+      return { service, persistentVms, demandVms: 0 };
+    const arriving = arrivals.computeLoad(service, clock.now);
+    const cpuMillis = load.used.cpuMillis + load.waiting.cpuMillis;
+    const memoryMb = load.used.memoryMb + load.waiting.memoryMb;
+    const expectedCpuMillis =
+      load.persistent.cpuMillis + arriving.cpuMillis + BACKLOG_SHARE * load.waiting.cpuMillis;
+    const expectedMemoryMb =
+      load.persistent.memoryMb + arriving.memoryMb + BACKLOG_SHARE * load.waiting.memoryMb;
+    const demandVms = Math.max(
+      Math.max(cpuMillis, expectedCpuMillis) / vmCapacity.cpuMillis,
+      Math.max(memoryMb, expectedMemoryMb) / vmCapacity.memoryMb,
+    );
+    return { service, persistentVms, demandVms };
   }
 
   #move(
@@ -89,14 +102,17 @@
     members: ReadonlyMap<string, MovableVm[]>,
     spare: string,
   ): void {
-    const donors: { member: MovableVm }[] = [];
+    const { now } = this.#context.clock;
+    const donors: { pool: string; member: MovableVm }[] = [];
     const receivers: string[] = [];
     for (const pool of pools) {
       const vms = members.get(pool) ?? [];
       const surplus = vms.length - (sizes.get(pool) ?? vms.length);
       for (let missing = -surplus; missing > 0; missing -= 1) receivers.push(pool);
+      if (surplus <= 0) this.#surplusSince.delete(pool);
+      else if (!this.#surplusSince.has(pool)) this.#surplusSince.set(pool, now);
       const movable = vms.filter((vm) => this.#isMovable(vm)).sort((a, b) => a.tasks - b.tasks);
-      for (const member of movable.slice(0, Math.max(0, surplus))) donors.push({ member });
+      for (const member of movable.slice(0, Math.max(0, surplus))) donors.push({ pool, member });
     }
     donors.sort((left, right) => left.member.tasks - right.member.tasks);
     const spareVms = (members.get(spare) ?? []).filter((vm) => this.#isMovable(vm));
@@ -105,8 +121,9 @@
       if (donor === undefined) return;
       this.#vmController.startPlan(donor.vm.name, { kind: 'move', pool });
     }
-    for (const { member } of donors) {
-      if (member.tasks > 0) continue;
+    for (const { pool, member } of donors) {
+      const since = this.#surplusSince.get(pool) ?? now;
+      if (member.tasks > 0 || now < since + SURPLUS_MS) continue;
       this.#vmController.startPlan(member.vm.name, { kind: 'move', pool: spare });
     }
   }
@@ -129,3 +146,15 @@
   if (first !== undefined && (isIdle || spareVms.length === 0)) return donors.shift()?.member;
   return spareVms.shift();
 }
+
+/** Computes how many VMs the persistent steps of a service need under their anti-affinity rules. */
+function computeRequiredVms(records: Iterable<JobRecord>, service: string): number {
+  let required = 0;
+  for (const { job, route } of records) {
+    if (route?.service !== service) continue;
+    for (const { isPersistent, antiAffinity, count } of job.stored.submission.steps) {
+      if (isPersistent) required = Math.max(required, antiAffinity > 0 ? count / antiAffinity : 1);
+    }
+  }
+  return Math.ceil(required);
+}
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -201,7 +201,6 @@
         stopMs: 900,
         remoteFactor: 2,
         statusMs: 120_000,
-        moveMs: 1_500,
         holderChangeMs: 3_000,
       },
       targetPort: this.targetPort,
--- a/packages/fleet/src/sizing.ts
+++ b/packages/fleet/src/sizing.ts
@@ -8,8 +8,6 @@
   readonly persistentVms: number;
   /** VMs that running, waiting and expected work fills; may be fractional. */
   readonly demandVms: number;
-  /** VMs that the pool has and should not give back yet, in all; 0 if none. */
-  readonly keptVms?: number;
 }
 
 /** VMs that an idle pool keeps, so that new work starts at once on either of them. */
@@ -20,41 +18,24 @@
 const HEADROOM_THRESHOLD_VMS = 0.5;
 
 /**
- * Decides how many of `totalVms` each pool should have. What there is goes to persistent tasks first,
- * then to current demand, and last to pools that keep VMs for a while. VMs beyond these are to be
- * switched off. The sizes add up to more than `totalVms` if the minimum sizes of the pools do.
+ * Decides how many of `totalVms` each pool should have. VMs beyond these are to be switched off. The
+ * sizes add up to more than `totalVms` if the minimum sizes of the pools do.
  */
 export function decidePoolSizes(
   pools: readonly PoolDemand[],
   totalVms: number,
 ): Map<ServiceName, number> {
-  const sizes = new Map(
-    pools.map(({ service, persistentVms }) => [service, Math.max(MINIMUM_POOL_VMS, persistentVms)]),
-  );
-  addClaims(sizes, totalVms, pools, computeNeededVms);
-  addClaims(sizes, totalVms, pools, ({ keptVms = 0 }) => keptVms);
-  return sizes;
-}
-
-/** Computes the VMs that a pool needs now, with headroom. */
-export function computeNeededVms({ demandVms }: Pick<PoolDemand, 'demandVms'>): number {
-  return Math.ceil(demandVms) + (demandVms > HEADROOM_THRESHOLD_VMS ? HEADROOM_VMS : 0);
-}
-
-/** Adds what each pool wants beyond its size; if there is too little for all, by max-min fairness. */
-function addClaims(
-  sizes: Map<ServiceName, number>,
-  totalVms: number,
-  pools: readonly PoolDemand[],
-  getWantedVms: (pool: PoolDemand) => number,
-): void {
-  const usedVms = [...sizes.values()].reduce((sum, size) => sum + size, 0);
-  const claims = pools.map((pool) => {
-    const demand = Math.max(0, getWantedVms(pool) - (sizes.get(pool.service) ?? 0));
+  const sizes = new Map<ServiceName, number>();
+  const floors = pools.map((pool) => Math.max(MINIMUM_POOL_VMS, pool.persistentVms));
+  const remainingVms = Math.max(0, totalVms - floors.reduce((sum, floor) => sum + floor, 0));
+  const claims = pools.map((pool, index) => {
+    const headroom = pool.demandVms > HEADROOM_THRESHOLD_VMS ? HEADROOM_VMS : 0;
+    const demand = Math.max(0, Math.ceil(pool.demandVms) + headroom - (floors[index] ?? 0));
     return { name: pool.service, weight: 1, demand };
   });
-  const allocation = computeMaxMinAllocation(Math.max(0, totalVms - usedVms), claims);
-  for (const [service, vms] of allocation) {
-    sizes.set(service, (sizes.get(service) ?? 0) + Math.floor(vms));
+  const allocation = computeMaxMinAllocation(remainingVms, claims);
+  for (const [index, pool] of pools.entries()) {
+    sizes.set(pool.service, (floors[index] ?? 0) + Math.floor(allocation.get(pool.service) ?? 0));
   }
+  return sizes;
 }
--- a/packages/scheduling/src/arrivals.ts
+++ b/packages/scheduling/src/arrivals.ts
@@ -70,16 +70,6 @@
       if (count < minimumArrivals) continue;
       arrivalsPerMs = Math.max(arrivalsPerMs, count / lengthMs);
     }
-    return this.#buildLoad(arrivalsPerMs);
-  }
-
-  /** Computes the load at the rate of the longest window, which lags behind but varies less. */
-  computeMeanLoad(now: number): ArrivalLoad {
-    const count = this.#arrivalTimes.filter((at) => at > now - LONGEST_WINDOW_MS).length;
-    return this.#buildLoad(count / LONGEST_WINDOW_MS);
-  }
-
-  #buildLoad(arrivalsPerMs: number): ArrivalLoad {
     return {
       cpuMillis: arrivalsPerMs * this.#meanCpuWork,
       memoryMb: arrivalsPerMs * this.#meanMemoryWork,
