--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,4 +1,4 @@
-import { JobState } from '@currantgap/model';
+import type { JobState } from '@currantgap/model';
 import type { Term, TermReport } from '@currantgap/ownership';
 import type { PageSizer, Row, Store } from '@currantgap/store';
 import { Task, type Clock } from '@currantgap/tasks';
@@ -15,6 +15,7 @@
 import { Intake } from './intake.ts';
 import { JobArchiver } from './job-archiver.ts';
 import { JobLookup } from './job-lookup.ts';
+import { findJobState } from './job-state.ts';
 import { LEDGER_TABLE } from './ledger.ts';
 import type { OperatorView, OwnerMessage } from './messages.ts';
 import { RunExpiry } from './run-expiry.ts';
@@ -226,12 +227,7 @@
    * A job that has completed or failed is reported as running until that state is in the store.
    */
   findState(id: string): JobState | undefined {
-    const { jobs } = this.#context;
-    const job = jobs.find(id);
-    if (job === undefined) return jobs.findArchived(id)?.state;
-    if (!job.isEnded) return job.hasStarted ? JobState.Running : JobState.Pending;
-    const isStored = job.storedState === job.state;
-    return isStored || job.state === JobState.Cancelled ? job.state : JobState.Running;
+    return findJobState(this.#context.jobs, id);
   }
 
   /** Counts a route's jobs that have not started any task; undefined until all jobs are loaded. */
