--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -7,4 +7,5 @@
 export { LEDGER_TABLE } from './ledger.ts';
 export * from './messages.ts';
 export * from './owner.ts';
+export * from './owner-options.ts';
 export * from './ports.ts';
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -1,14 +1,12 @@
 import type { JobState } from '@currantgap/model';
-import type { Term, TermReport } from '@currantgap/ownership';
-import type { PageSizer, Row, Store } from '@currantgap/store';
-import { Task, type Clock } from '@currantgap/tasks';
-import type { Logger } from '@currantgap/telemetry';
-import { AdmissionPublisher, type AdmissionPort } from './admission-publisher.ts';
+import type { TermReport } from '@currantgap/ownership';
+import type { Row } from '@currantgap/store';
+import { Task } from '@currantgap/tasks';
+import { AdmissionPublisher } from './admission-publisher.ts';
 import { AdviceCache } from './advice-cache.ts';
 import { JobPurger } from './job-purger.ts';
 import { buildContext } from './build-context.ts';
-import type { OwnerBounds, OwnerContext } from './context.ts';
-import type { CopyOutcome } from './copy-log.ts';
+import type { OwnerContext } from './context.ts';
 import { Drainer } from './drainer.ts';
 import { DurationStore } from './duration-store.ts';
 import { LeaseRenewer } from './lease-renewer.ts';
@@ -17,14 +15,15 @@
 import { JobLookup } from './job-lookup.ts';
 import { findJobState } from './job-state.ts';
 import { LEDGER_TABLE } from './ledger.ts';
-import type { OperatorView, OwnerMessage } from './messages.ts';
+import type { OwnerMessage } from './messages.ts';
 import { RunExpiry } from './run-expiry.ts';
 import { isUncertain, RunOrders } from './run-orders.ts';
+import type { OwnerOptions } from './owner-options.ts';
 import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
-import { StartOutcome, type AdvicePort, type TargetPort, type VmPort } from './ports.ts';
+import { StartOutcome } from './ports.ts';
 import { Quarantine } from './quarantine.ts';
-import { RegistryReader, type Registry } from './registry-reader.ts';
+import { RegistryReader } from './registry-reader.ts';
 import { ReportProcessor } from './report-processor.ts';
 import { ReportReceiver } from './report-receiver.ts';
 import { LoadReporter } from './pool-load.ts';
@@ -34,7 +33,7 @@
 import { StartWatch } from './start-watch.ts';
 import { TermFeeds } from './term-feeds.ts';
 import { VM_ORDER_TABLE } from './vm-order-log.ts';
-import { WAVE_TABLE, type EncodeWaveStatus } from './wave-controller.ts';
+import { WAVE_TABLE } from './wave-controller.ts';
 
 /** Milliseconds between periodic sweeps over all targets and jobs. */
 const TICK_MS = 100;
@@ -43,39 +42,6 @@
 /** Milliseconds for which leases are extended at a hand-over. */
 const HAND_OVER_MS = 3_000;
 
-/** Options of an owner; one owner is created for each ownership term. */
-export interface OwnerOptions {
-  readonly term: Term;
-  readonly store: Store;
-  /** Page size for this node's link to the store. */
-  readonly pageSizer: PageSizer;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly bounds: OwnerBounds;
-  readonly targetPort: TargetPort;
-  /** Lists the nodes that should take over after this one, the most suitable one first. */
-  readonly listSuccessors: () => readonly string[];
-  readonly registry: Registry;
-  readonly getOperatorView: () => OperatorView;
-  /** Undefined if the deployment has no advice service. */
-  readonly advicePort: AdvicePort | undefined;
-  /** Undefined if the deployment has no VM service. */
-  readonly vmPort: VmPort | undefined;
-  /** Whether this node's lease was renewed recently enough to order VMs. */
-  readonly hasFreshLease: () => boolean;
-  /** Whether the ownership lease is still valid, so that no other node can have taken over. */
-  readonly hasValidLease: () => boolean;
-  readonly encodeWaveStatus: EncodeWaveStatus;
-  /** Called with the ratio of a task's actual to its expected duration, and its route. */
-  readonly observeDuration?: (route: string, ratio: number) => void;
-  /** Called for each copy of a run that starts and that ends. */
-  readonly onCopy?: (outcome: CopyOutcome) => void;
-  /** Undefined if nothing is refused for load. */
-  readonly admissionPort: AdmissionPort | undefined;
-  /** Called when another node has taken over, but not after the owner was closed. */
-  readonly onDeposed: (reason: string) => void;
-}
-
 /**
  * Schedules all jobs for one ownership term: decides which tasks start next, where they run and
  * which runs are stopped, and records the progress in the store.
