fix(execution,ingress): findings of the review of copies, admission and overdue calls

An end of a copy was acknowledged before the end that finished its task was stored; a caller returning to a node that had not yet seen the refusal was answered 429, though an attempt through another node could still be stored; one slow member of a gang could be prevented alone; a late report of an earlier life of a target took its state back; a late error of an overtaken renewal counted.

--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -96,9 +96,10 @@
   requestReport(target: TargetRecord): void {
     const { clock, post, targetPort, term } = this.#context;
     const sentAt = clock.now;
+    const knownBornAt = target.bornAt;
     const order = { token: term.token, acknowledgedThrough: 0, deadline: undefined, waitMs: 0 };
     void targetPort.renewLeases(target.address, order).then((report) => {
-      post({ kind: 'looked', target, sentAt, report });
+      post({ kind: 'looked', target, sentAt, knownBornAt, report });
     });
   }
 
@@ -140,7 +141,7 @@
     }
     target.isRenewalInFlight = true;
     target.renewal += 1;
-    const { renewal } = target;
+    const { renewal, bornAt: knownBornAt } = target;
     const isClockKnown = target.hasClock && !target.isIncarnationUncertain;
     const order = {
       token: term.token,
@@ -154,7 +155,7 @@
     };
     target.renewalDueAt = now + order.waitMs + this.#responseTimes.limitMs;
     void targetPort.renewLeases(target.address, order).then((report) => {
-      post({ kind: 'held', target, renewal, sentAt: now, report });
+      post({ kind: 'held', target, renewal, sentAt: now, knownBornAt, report });
     });
   }
 }
--- a/packages/execution/src/messages.ts
+++ b/packages/execution/src/messages.ts
@@ -20,6 +20,8 @@
       readonly renewal: number;
       /** Monotonic time at which the renewal was sent, in milliseconds. */
       readonly sentAt: number;
+      /** Incarnation of the target that was known when the renewal was sent. */
+      readonly knownBornAt: number | undefined;
       readonly report: Result<TargetReport, LeaseRenewalFault>;
     }
   /** Result of a report that was requested outside the renewals. */
@@ -28,6 +30,8 @@
       readonly target: TargetRecord;
       /** Monotonic time at which the request was sent, in milliseconds. */
       readonly sentAt: number;
+      /** Incarnation of the target that was known when the request was sent. */
+      readonly knownBornAt: number | undefined;
       readonly report: Result<TargetReport, LeaseRenewalFault>;
     }
   /** Answer to a start order. */
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -191,7 +191,8 @@
       }
       if (target === undefined && task.isSuspect) continue;
       if (target === undefined) {
-        this.#reservations.recordBlocked(service, candidate, advised);
+        if (this.#shares.isShort(service))
+          this.#reservations.recordBlocked(service, candidate, advised);
         return { placedCount, isBlocked: true };
       }
       const ticket = this.#advice.getTicket(step, target.id);
--- a/packages/execution/src/pool-shares.ts
+++ b/packages/execution/src/pool-shares.ts
@@ -14,6 +14,10 @@
 
 /** Weight of a team that the configuration in force does not name. */
 const DEFAULT_WEIGHT = 1;
+/** Moves of VMs, one after the other, in which a pool gets the VMs that others can spare. */
+const MOVES_TO_RELIEF = 2;
+/** Milliseconds that a VM takes to move between pools if the settings don't say. */
+const DEFAULT_MOVE_MS = 1_500;
 /** Milliseconds without contention after which a pool counts as no longer contended. */
 const CALM_MS = 1_000;
 /** Most teams in a log line. */
@@ -51,10 +55,20 @@
       capacity,
       teams: this.#listUsages(held, candidates),
     }));
+    if (!this.isShort(service)) return new UrgencyOrder(candidates);
     const getWeight = (team: string): number => this.#getWeight(team);
     return new ShareOrder({ capacity, held, getWeight, candidates });
   }
 
+  /** Whether a pool has been contended for longer than VMs take to come to it. */
+  isShort(service: string): boolean {
+    const { clock, bounds } = this.#context;
+    const contention = this.#contended.get(service);
+    if (contention === undefined) return false;
+    const relievedAt = contention.since + MOVES_TO_RELIEF * (bounds.moveMs ?? DEFAULT_MOVE_MS);
+    return clock.now >= relievedAt;
+  }
+
   /** Computes the shares of the teams in each contended pool, as the last pass found them. */
   computeShares(): Map<string, ReadonlyMap<string, TeamShare>> {
     const shares = new Map<string, ReadonlyMap<string, TeamShare>>();
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -3,6 +3,7 @@
   computeRestartDelayMs,
   EndEffect,
   isFailure,
+  type Job,
   type TaskRun,
 } from '@currantgap/jobs';
 import { EndKind } from '@currantgap/model';
@@ -200,13 +201,24 @@
       ...durations,
     });
     if (effect !== EndEffect.None && effect !== EndEffect.Retry) this.#stopUnneeded(task, effect);
-    if (effect === EndEffect.None) return 0;
+    if (effect === EndEffect.None) return this.#getPendingChange(job, ended.kind);
     const shouldPersist =
       effect !== EndEffect.Retry || isFailure(ended.kind) || ended.checkpoint !== '';
     if (!shouldPersist || (task.step.definition.isPersistent && ended.checkpoint === '')) return 0;
     return this.enqueueLedgerWrite(job.id);
   }
 
+  /**
+   * Gets the ledger change that must be stored before the end of a run of a finished task is
+   * acknowledged: the end that finished it may not be stored yet. Returns 0 if it is.
+   */
+  #getPendingChange(job: Job, kind: EndKind): number {
+    const { jobs, ledger } = this.#context;
+    const isStored = job.isEnded && job.storedState === job.state;
+    if (kind !== EndKind.Done || isStored || jobs.find(job.id) === undefined) return 0;
+    return ledger.add(job);
+  }
+
   /** Enqueues a changed job for the ledger; returns the number of the change. */
   enqueueLedgerWrite(jobId: string): number {
     const { active, jobs, ledger } = this.#context;
--- a/packages/execution/src/report-receiver.ts
+++ b/packages/execution/src/report-receiver.ts
@@ -17,8 +17,8 @@
   }
 
   /** Applies the report that a target gave on request; an unanswered request has no effect. */
-  applyImmediate({ target, report, sentAt }: OwnerMessage & { kind: 'looked' }): void {
-    if (report.isErr() || target.isOutdated(report.value)) return;
+  applyImmediate({ target, report, sentAt, knownBornAt }: OwnerMessage & { kind: 'looked' }): void {
+    if (report.isErr() || target.isOutdated(report.value, knownBornAt)) return;
     const changeNumber = this.#reportProcessor.apply(target, report.value, sentAt);
     this.#leaseRenewer.recordApplied(target, changeNumber);
   }
@@ -26,15 +26,12 @@
   /** Applies the result of a lease renewal. */
   applyRenewal(message: OwnerMessage & { kind: 'held' }): void {
     const { logger, depose } = this.#context;
-    const { target, report, sentAt, renewal } = message;
+    const { target, report, sentAt, renewal, knownBornAt } = message;
     const isLatest = renewal === target.renewal;
     if (isLatest) target.isRenewalInFlight = false;
     if (report.isOk()) {
       target.overdueRenewals = 0;
-      if (target.isOutdated(report.value)) {
-        this.#leaseRenewer.sendDue();
-        return;
-      }
+      if (target.isOutdated(report.value, knownBornAt)) return;
       const isFirst = target.reportedAt === undefined;
       const changeNumber = this.#reportProcessor.apply(target, report.value, sentAt);
       this.#leaseRenewer.continueAfterReport(target, changeNumber, isFirst);
@@ -45,7 +42,7 @@
       return;
     }
     // A later renewal says whether the target is silent.
-    if (!isLatest && report.error === LeaseRenewalFault.NoAnswer) return;
+    if (!isLatest) return;
     if (target.unansweredCalls === 0) {
       logger.writeWarning('target silent', { target: target.id, reason: report.error });
     }
--- a/packages/execution/src/start-watch.ts
+++ b/packages/execution/src/start-watch.ts
@@ -37,20 +37,23 @@
     const { now } = this.#context.clock;
     const { limitMs } = this.#orders.startTimes;
     let doubts = 0;
+    const doubted = new Set<TargetRecord>();
     for (const [assignment, target] of this.#orders.unansweredStarts) {
       // Starts are in the order in which they were sent.
-      if (now < assignment.attempt.startedAt + limitMs || doubts >= MAXIMUM_DOUBTS) return;
-      if (assignment.attempt.phase !== AttemptPhase.Starting) continue;
+      if (now < assignment.attempt.startedAt + limitMs || doubts >= MAXIMUM_DOUBTS) break;
+      if (!canDoubt(assignment)) continue;
       const doubtFrom = this.#doubtFrom.get(assignment);
       if (doubtFrom === undefined) this.#doubtFrom.set(assignment, now + READ_MARGIN_MS);
       else if (now >= doubtFrom) {
-        this.#checkStart(assignment, target, limitMs);
+        this.#recordDoubt(assignment, target, limitMs);
+        doubted.add(target);
         doubts += 1;
       }
     }
+    for (const target of doubted) this.#requestReport(target);
   }
 
-  #checkStart({ task, attempt }: Assignment, target: TargetRecord, limitMs: number): void {
+  #recordDoubt({ task, attempt }: Assignment, target: TargetRecord, limitMs: number): void {
     const { clock, logger } = this.#context;
     attempt.phase = AttemptPhase.Uncertain;
     logger.writeInfo('start overdue', {
@@ -61,6 +64,10 @@
       elapsedMs: Math.round(clock.now - attempt.startedAt),
       limitMs: Math.round(limitMs),
     });
-    this.#requestReport(target);
   }
 }
+
+/** Whether a start may be prevented: a gang would be left without one of its members. */
+function canDoubt({ task, attempt }: Assignment): boolean {
+  return attempt.phase === AttemptPhase.Starting && !task.step.definition.isGang;
+}
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -146,9 +146,17 @@
     );
   }
 
-  /** Whether the target has reported a later state than this report of the same incarnation. */
-  isOutdated({ clockMs, bornAt }: Pick<TargetReport, 'clockMs' | 'bornAt'>): boolean {
-    return bornAt !== undefined && bornAt === this.bornAt && clockMs < this.#clockMs;
+  /**
+   * Whether the target has reported a later state than this report: a later reading of the same clock, or
+   * another incarnation than the one that was known when the report was requested.
+   */
+  isOutdated(
+    { clockMs, bornAt }: Pick<TargetReport, 'clockMs' | 'bornAt'>,
+    knownBornAt: number | undefined,
+  ): boolean {
+    if (bornAt === undefined) return false;
+    if (bornAt === this.bornAt) return clockMs < this.#clockMs;
+    return this.bornAt !== knownBornAt;
   }
 
   /** Records a reading of the target's clock. */
--- a/packages/execution/test/lease-renewer.test.ts
+++ b/packages/execution/test/lease-renewer.test.ts
@@ -49,7 +49,14 @@
   harness.fleet.assign(target, task, buildAttempt(target, 1, AttemptPhase.Running, harness.now));
   renewer.sendDue();
   const receive = (renewal: number, report: Result<TargetReport, LeaseRenewalFault>) => {
-    receiver.applyRenewal({ kind: 'held', target, renewal, sentAt: harness.now, report });
+    receiver.applyRenewal({
+      kind: 'held',
+      target,
+      renewal,
+      sentAt: harness.now,
+      knownBornAt: 1,
+      report,
+    });
   };
   const listWaits = () => targetPort.leaseRenewals.map(({ waitMs }) => waitMs);
   const wait = (ms: number) => {
@@ -93,4 +100,15 @@
     receive(1, ok(createReport({ clockMs: 500 })));
     assert.equal(task.isActive, true);
   });
+
+  it('changes nothing if its answer comes from an earlier life of the target', () => {
+    const { target, task, receive, wait } = createSetup();
+    wait(OVERDUE_MS);
+    target.bornAt = 2;
+    target.appliedThrough = 5;
+    receive(1, ok(createReport({ clockMs: 90_000 })));
+    assert.equal(target.bornAt, 2);
+    assert.equal(target.appliedThrough, 5);
+    assert.equal(task.isActive, true);
+  });
 });
--- a/packages/execution/test/start-watch.test.ts
+++ b/packages/execution/test/start-watch.test.ts
@@ -26,7 +26,7 @@
 }
 
 /** Starts the tasks of one step on a target that answers no start. */
-function createSetup(count: number) {
+function createSetup(count: number, isGang = false) {
   const targetPort = new SilentTargetPort();
   const harness = new TermHarness();
   const context = { ...harness.context, targetPort };
@@ -38,7 +38,7 @@
   const asked: string[] = [];
   const watch = new StartWatch(context, orders, ({ id }) => asked.push(id));
   const processor = new ReportProcessor(context, orders, new JobLookup(context, harness.store));
-  const job = harness.addJob('00000000000000e0', [{ count }]);
+  const job = harness.addJob('00000000000000e0', [{ count, isGang }]);
   const tasks = job.openOccurrence(0).steps[0]?.tasks ?? [];
   for (const [index, task] of tasks.entries()) orders.start(task, target, index + 1);
   const [task] = tasks;
@@ -99,8 +99,20 @@
   it('is one of few that are doubted at once', () => {
     const setup = createSetup(40);
     waitUntilOverdue(setup);
-    assert.equal(setup.asked.length, 16);
+    const countDoubted = () =>
+      setup.task.step.tasks.filter(({ attempts }) => attempts[0]?.phase === AttemptPhase.Uncertain)
+        .length;
+    assert.equal(countDoubted(), 16);
     setup.watch.sweep();
-    assert.equal(setup.asked.length, 32);
+    assert.equal(countDoubted(), 32);
+    // The target is asked once in each sweep.
+    assert.equal(setup.asked.length, 2);
+  });
+
+  it('is not prevented if the other members of a gang would be left without it', () => {
+    const setup = createSetup(2, true);
+    waitUntilOverdue(setup);
+    assert.deepEqual(setup.asked, []);
+    assert.equal(setup.task.attempts[0]?.phase, AttemptPhase.Starting);
   });
 });
--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -296,8 +296,9 @@
 
 function buildWriteResponse(outcome: WriteOutcome, refusedMessage: string): JsonResponse {
   if (outcome === WriteOutcome.Refused) return buildUnavailable(refusedMessage);
-  if (outcome === WriteOutcome.Withdrawn) return buildOverloaded(RETRY_AFTER_S);
-  if (outcome !== WriteOutcome.Unknown) return { status: 200, body: { state: JobState.Pending } };
+  // An attempt through another node may still replace the refusal, so that nothing more is known.
+  const isUnknown = outcome === WriteOutcome.Unknown || outcome === WriteOutcome.Withdrawn;
+  if (!isUnknown) return { status: 200, body: { state: JobState.Pending } };
   const remedy = 'Send it again with the same id.';
   return buildRefusal(504, FaultKind.OutcomeUnknown, 'Whether it was stored is not known.', remedy);
 }
