fix(estimation): bound the memory of learned durations without thrashing

Cause: a step that was only asked about got a kind with a histogram; the least recently used bounds (32 routes, 24 kinds, 12 stored) forgot all before it was used again when 34 routes or 30 images took turns; the pool was sorted and walked at each end, also of runs that teach nothing; an older release overwrote a row of a later one; a name over 200 bytes would have been retried for ever with its whole batch; a step went on recording into a kind that had been dropped.

Change: reading keeps no route and no kind. A step has its own kind once one of several tasks was recorded; its wider kind is renewed at each record. 256 routes and 64 kinds, all of which fit into a row; beyond that the one of least weight is dropped, of kinds only one without narrower ones. A row is removed only if none is to be written. Rows of a later release and names over 200 bytes are not chosen for writing, so they do not block others either. The busy targets' slowness is kept by service for 500 ms; a target that was idle then is counted in without sorting.

Ruled out: a median of the busy targets alone, as two targets (one slow) would then judge the sound one by the slow one at its end. Keeping a step's parent for all time: see the last cause.

Test replaced: "a row of a later release" had required that the row is overwritten once something is learned, which is the fault. It now requires the row unchanged to the byte; the corrupt row must still be overwritten.

--- a/packages/estimation/src/distribution.ts
+++ b/packages/estimation/src/distribution.ts
@@ -14,6 +14,8 @@
 const TAIL_SPREAD = 1.5;
 /** Multiple of the probability beyond a quantile that the tail must hold to reach below it. */
 const TAIL_EVIDENCE = 2;
+/** Upper bound of the quantiles that are kept of a distribution. */
+const MAXIMUM_KNOWN_QUANTILES = 8;
 /** Narrowest spread of a body, octaves of the ratio. */
 const MINIMUM_SPREAD_OCTAVES = 0.25;
 
@@ -26,6 +28,8 @@
   /** Sum of probability times ratio below the lower edge of each point's cell. */
   readonly #sumBelow = new Float64Array(POINT_COUNT + 1);
   #mean: number | undefined;
+  /** Quantiles that were asked for, by part. */
+  #quantiles: Map<number, number> | undefined;
 
   /** `weights` are scaled to the sum 1. */
   constructor(weights: Float64Array) {
@@ -55,6 +59,15 @@
    * rest does not reach below the quantile by chance: then the body's own width bounds it.
    */
   computeQuantile(part: number): number {
+    const known = this.#quantiles?.get(part);
+    if (known !== undefined) return known;
+    const quantile = this.#computeBoundedQuantile(part);
+    this.#quantiles ??= new Map();
+    if (this.#quantiles.size < MAXIMUM_KNOWN_QUANTILES) this.#quantiles.set(part, quantile);
+    return quantile;
+  }
+
+  #computeBoundedQuantile(part: number): number {
     const ratio = this.#computeRatioAt(part);
     const median = this.#computeRatioAt(0.5);
     if (ratio <= median) return ratio;
--- a/packages/estimation/src/duration-codec.ts
+++ b/packages/estimation/src/duration-codec.ts
@@ -1,11 +1,10 @@
 import { err, ok, type Result } from 'neverthrow';
 import { POINT_COUNT } from './ratio-grid.ts';
+import { MAXIMUM_KINDS } from './route-kinds.ts';
 import type { TaskKind } from './task-kind.ts';
 
 /** Version of the format of a row. */
 const FORMAT_VERSION = 1;
-/** Upper bound of the kinds in a row. */
-const MAXIMUM_STORED_KINDS = 12;
 /** Stored units of a weight of 1. */
 const UNITS_PER_WEIGHT = 10;
 /** Largest sum of the weights of a kind; more than ageing leaves. */
@@ -38,7 +37,7 @@
   const stored = kinds
     .filter(({ isWorthStoring }) => isWorthStoring)
     .sort((left, right) => right.histogram.total - left.histogram.total)
-    .slice(0, MAXIMUM_STORED_KINDS)
+    .slice(0, MAXIMUM_KINDS)
     .map((kind) => encodeKind(kind));
   return JSON.stringify({ version: FORMAT_VERSION, kinds: stored });
 }
@@ -58,7 +57,7 @@
     return err({ kind: DurationFaultKind.LaterVersion, message });
   }
   if (version !== FORMAT_VERSION) return err(describeMalformed('it has no version'));
-  if (!Array.isArray(kinds) || kinds.length > MAXIMUM_STORED_KINDS) {
+  if (!Array.isArray(kinds) || kinds.length > MAXIMUM_KINDS) {
     return err(describeMalformed('it has no list of kinds, or one that is too long'));
   }
   const decoded = kinds.map((kind) => decodeKind(kind));
--- a/packages/estimation/src/duration-model.ts
+++ b/packages/estimation/src/duration-model.ts
@@ -8,7 +8,7 @@
 /** Assumed duration in milliseconds of a task for which the client gave no estimate. */
 const DEFAULT_TASK_MS = 1_000;
 /** Upper bound of the routes whose durations are learned. */
-const MAXIMUM_ROUTES = 32;
+const MAXIMUM_ROUTES = 256;
 /** Upper bound of the kinds in one log line. */
 const MAXIMUM_DESCRIBED_KINDS = 4;
 /** Quantile in the log. */
@@ -25,10 +25,16 @@
   readonly replaces?: RecordedBound | undefined;
 }
 
-/** A step's own kind, which only its tasks belong to. */
+/** The kinds of a step's tasks. */
 interface StepEntry {
   readonly route: string;
-  readonly kind: TaskKind;
+  readonly kinds: RouteKinds;
+  /** Revision of the route's kinds when the parent was found. */
+  readonly revision: number;
+  /** Narrowest kind to which tasks of other steps belong, too. */
+  readonly parent: TaskKind | undefined;
+  /** Kind of only this step's tasks, once one of several was observed. */
+  readonly own: TaskKind | undefined;
 }
 
 /**
@@ -39,7 +45,7 @@
   readonly #routes = new Map<string, RouteKinds>();
   readonly #steps = new WeakMap<Step, StepEntry>();
 
-  /** Names of the routes whose durations were asked for or observed. */
+  /** Names of the routes whose durations were observed. */
   get routes(): Iterable<string> {
     return this.#routes.keys();
   }
@@ -67,7 +73,7 @@
   record(route: string, step: Step, elapsedMs: number, { replaces }: RecordOptions = {}): void {
     withdraw(replaces);
     if (!(elapsedMs > 0) || step.isPersistent) return;
-    const kind = this.#getKind(route, step, true);
+    const kind = this.#getKind(route, step);
     kind.record(elapsedMs / getDeclaredMs(step), computeWeight(step));
   }
 
@@ -80,7 +86,7 @@
   ): RecordedBound {
     withdraw(replaces);
     if (!(elapsedMs > 0) || step.isPersistent) return { receipts: [] };
-    const kind = this.#getKind(route, step, true);
+    const kind = this.#getKind(route, step);
     return { receipts: kind.recordBound(elapsedMs / getDeclaredMs(step), computeWeight(step)) };
   }
 
@@ -124,27 +130,55 @@
 
   /** Gets what is expected of a step's tasks; persistent ones never end, so nothing is learned. */
   #getDistribution(route: string, step: Step): Distribution {
-    return step.isPersistent ? PRIOR : this.#getKind(route, step).distribution;
+    return step.isPersistent ? PRIOR : (this.#findKind(route, step)?.distribution ?? PRIOR);
   }
 
-  #getKind(route: string, step: Step, isUse = false): TaskKind {
-    const known = this.#steps.get(step);
-    if (known?.route === route && !isUse) return known.kind;
-    // A use keeps the route and the shape among those that are kept.
-    const parent = this.#getRoute(route).getKind(step);
-    if (known?.route === route) return known.kind;
-    const created = { route, kind: new TaskKind([], parent) };
-    this.#steps.set(step, created);
-    return created.kind;
+  /** Finds the narrowest kind of a step's tasks without keeping a new one. */
+  #findKind(route: string, step: Step): TaskKind | undefined {
+    const entry = this.#steps.get(step);
+    const kinds = this.#routes.get(route);
+    if (entry?.route === route) {
+      if (entry.own !== undefined) return entry.own;
+      if (entry.kinds === kinds && entry.revision === kinds.revision) return entry.parent;
+    }
+    if (kinds === undefined) return undefined;
+    const parent = kinds.findKind(step);
+    this.#steps.set(step, { route, kinds, revision: kinds.revision, parent, own: undefined });
+    return parent;
+  }
+
+  /** Gets the narrowest kind of a step's tasks to record a run. */
+  #getKind(route: string, step: Step): TaskKind {
+    const kinds = this.#getRoute(route);
+    const parent = kinds.getKind(step);
+    // The only task of a step teaches nothing about others of the step.
+    if (step.count <= 1) return parent;
+    const entry = this.#steps.get(step);
+    const own = (entry?.route === route ? entry.own : undefined) ?? new TaskKind([], parent);
+    // The wider kind may have been dropped since and created again.
+    own.parent = parent;
+    this.#steps.set(step, { route, kinds, revision: kinds.revision, parent, own });
+    return own;
   }
 
   #getRoute(route: string): RouteKinds {
-    const kinds = this.#routes.get(route) ?? new RouteKinds();
-    this.#routes.delete(route);
-    this.#routes.set(route, kinds);
-    const [oldest] = this.#routes.keys();
-    if (this.#routes.size > MAXIMUM_ROUTES && oldest !== undefined) this.#routes.delete(oldest);
-    return kinds;
+    const known = this.#routes.get(route);
+    if (known !== undefined) return known;
+    if (this.#routes.size >= MAXIMUM_ROUTES) this.#dropLightestRoute();
+    const created = new RouteKinds();
+    this.#routes.set(route, created);
+    return created;
+  }
+
+  #dropLightestRoute(): void {
+    let least = Infinity;
+    let lightest: string | undefined;
+    for (const [route, { weight }] of this.#routes) {
+      if (weight >= least) continue;
+      least = weight;
+      lightest = route;
+    }
+    if (lightest !== undefined) this.#routes.delete(lightest);
   }
 }
 
--- a/packages/estimation/src/task-kind.ts
+++ b/packages/estimation/src/task-kind.ts
@@ -27,7 +27,8 @@
 export class TaskKind {
   readonly path: readonly string[];
   readonly histogram = new AgedHistogram();
-  readonly #parent: TaskKind | undefined;
+  /** The next wider kind. */
+  parent: TaskKind | undefined;
   /** Weight of what was recorded since the distribution was computed. */
   #newWeight = 0;
   #parentDistribution: Distribution | undefined;
@@ -36,7 +37,7 @@
 
   constructor(path: readonly string[], parent?: TaskKind) {
     this.path = path;
-    this.#parent = parent;
+    this.parent = parent;
   }
 
   /** Whether enough was observed for others to learn from it. */
@@ -46,7 +47,7 @@
 
   /** Distribution expected of the next task. */
   get distribution(): Distribution {
-    const parent = this.#parent?.distribution ?? PRIOR;
+    const parent = this.parent?.distribution ?? PRIOR;
     const { total, weights } = this.histogram;
     if (total === 0) return parent;
     const isCurrent = this.#newWeight <= REFRESH_PART * total;
@@ -63,7 +64,7 @@
 
   /** Records a ratio for this kind and all wider ones. */
   record(ratio: number, weight: number): void {
-    this.#parent?.record(ratio, weight);
+    this.parent?.record(ratio, weight);
     this.histogram.add(ratio, weight);
     this.#newWeight += weight;
   }
@@ -105,7 +106,7 @@
   }
 
   #addBound(ratio: number, weight: number, expected: Distribution): KindReceipts {
-    const wider = this.#parent === undefined ? [] : this.#parent.#addBound(ratio, weight, expected);
+    const wider = this.parent === undefined ? [] : this.parent.#addBound(ratio, weight, expected);
     const receipt = this.histogram.addBound(ratio, weight, expected);
     this.#newWeight += weight;
     return [...wider, [this, receipt]];
--- a/packages/estimation/test/duration-model.test.ts
+++ b/packages/estimation/test/duration-model.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { decodeDurations, encodeDurations } from '../src/duration-codec.ts';
 import { DurationModel } from '@currantgap/estimation';
 import { STEP_DEFAULTS } from '@currantgap/jobs';
 import type { Step } from '@currantgap/model';
@@ -183,4 +184,62 @@
       assertWithin(bounded.estimateTaskMs(ROUTE, createStep()), 0.92 * expected, 1.08 * expected);
     });
   });
+
+  describe('with many kinds', () => {
+    it('learns 30 images in turn of each of 34 routes in turn, and keeps them in one row', () => {
+      const model = new DurationModel();
+      for (let round = 0; round < 20; round += 1) {
+        for (let route = 0; route < 34; route += 1) {
+          for (let image = 0; image < 30; image += 1) {
+            const step = createStep({ image: `image-${image}` });
+            model.record(`route-${route}`, step, image % 2 === 0 ? 4_000 : 500);
+          }
+        }
+      }
+      const successor = new DurationModel();
+      const row = encodeDurations(model.listKinds('route-33') ?? []);
+      successor.load('route-33', decodeDurations(row)._unsafeUnwrap());
+      for (const known of [model, successor]) {
+        for (let image = 0; image < 30; image += 1) {
+          const step = createStep({ image: `image-${image}` });
+          const [low, high] = image % 2 === 0 ? [3_000, 4_100] : [480, 800];
+          assertWithin(known.estimateTaskMs('route-33', step), low, high);
+        }
+      }
+    });
+
+    it('keeps those of which most is known, in a row that the store takes', () => {
+      const model = new DurationModel();
+      learn(model, 40, () => 4_000, { image: 'usual' });
+      for (let image = 0; image < 200; image += 1) {
+        const name = String.fromCharCode(1 + (image % 20), 1 + Math.floor(image / 20)).repeat(32);
+        learn(model, 8, () => 100 + 130 * image, { image: name });
+        learn(model, 1, () => 4_000, { image: `rare-${image}` });
+      }
+      const kinds = model.listKinds(ROUTE) ?? [];
+      assert.equal(kinds.length, 64);
+      assert.ok(kinds.some(({ path }) => path[1] === 'usual'));
+      assert.ok(Buffer.byteLength(encodeDurations(kinds)) < 65_536);
+    });
+
+    it('keeps none of what is only asked for', () => {
+      const model = new DurationModel();
+      for (let index = 0; index < 1_000; index += 1) {
+        model.estimateTaskMs(`route-${index}`, createStep({ count: 8, image: `${index}` }));
+      }
+      assert.deepEqual([...model.routes], []);
+    });
+
+    it('lets the runs of a step teach others after its route was dropped', () => {
+      const model = new DurationModel();
+      const step = createStep({ count: 40 });
+      model.record(ROUTE, step, 4_000);
+      for (let route = 0; route < 256; route += 1) {
+        for (let run = 0; run < 2; run += 1) model.record(`${route}`, createStep(), 1_000);
+      }
+      assert.equal(model.listKinds(ROUTE), undefined);
+      for (let run = 0; run < 39; run += 1) model.record(ROUTE, step, 4_000);
+      assert.ok(model.estimateTaskMs(ROUTE, createStep()) > 2_000);
+    });
+  });
 });
--- a/packages/execution/src/duration-recorder.ts
+++ b/packages/execution/src/duration-recorder.ts
@@ -46,6 +46,9 @@
 export class DurationRecorder {
   readonly #options: DurationRecorderOptions;
   readonly #runs = new WeakMap<Attempt, WholeRun>();
+  /** Slowness of the pools by service, until it is computed anew. */
+  readonly #pools = new Map<string, PoolSlowness>();
+  #poolsExpireAt = 0;
   #checkNotBefore = 0;
 
   constructor(options: DurationRecorderOptions) {
@@ -77,17 +80,25 @@
     const { definition, job } = task.step;
     const { route } = job.stored;
     const actualMs = this.#computeElapsedMs(assignment);
+    const run = this.#runs.get(attempt);
+    if (run === undefined) {
+      // A run of unknown duration shows only that the target has not failed it.
+      target.health.recordSuccess(target.slowness);
+      return {};
+    }
     const usualMs =
       durations.estimateTaskMs(route, definition) * this.#getRemoteFactor(target, assignment);
-    const run = this.#runs.get(attempt);
-    // The slowness before this end counts, which does not yet depend on it.
-    const ownMs = this.#computeOwnMs(target, assignment, actualMs);
-    // A run of unknown duration shows only that the target has not failed it.
-    target.health.recordSuccess(run === undefined ? target.slowness : actualMs / usualMs);
-    if (run === undefined || effect === EndEffect.None) return {};
+    const slowness = actualMs / usualMs;
+    if (effect === EndEffect.None) {
+      target.health.recordSuccess(slowness);
+      return {};
+    }
     if (attempt.pace === FULL_PACE) {
+      // The slowness before this end counts, which does not yet depend on it.
+      const ownMs = this.#computeOwnMs(target, assignment, actualMs);
       durations.record(route, definition, ownMs, { replaces: run.bound });
     }
+    target.health.recordSuccess(slowness);
     observe?.(route, actualMs / run.expectedMs);
     return {
       route,
@@ -115,7 +126,7 @@
     if (!attempt.isListed || attempt.pace !== FULL_PACE) return;
     // The run is known to have lasted until the last report.
     const elapsedMs = (target.reportedAt ?? 0) - attempt.startedAt;
-    if (elapsedMs < BOUND_GROWTH * run.boundAtMs) return;
+    if (elapsedMs < Math.max(run.expectedMs, BOUND_GROWTH * run.boundAtMs)) return;
     const { durations } = this.#options;
     const { route } = job.stored;
     const overdueMs = durations.estimateQuantileMs(route, definition, OVERDUE_PART);
@@ -166,13 +177,42 @@
    * is the tasks that take longer.
    */
   #computeRelativeSlowness(target: TargetRecord): number {
-    const slownesses = this.#options.fleet
-      .listPool(target.entry.service)
-      .filter((other) => other === target || other.assignmentCount > 0)
-      .map(({ slowness }) => slowness)
-      .sort((left, right) => left - right);
-    const usual = slownesses[(slownesses.length - 1) >> 1] ?? target.slowness;
+    const usual = this.#getPool(target.entry.service).computeMedianWith(target);
     const relative = usual > 0 ? target.slowness / usual : 1;
     return Math.min(MAXIMUM_SLOWNESS, Math.max(MINIMUM_SLOWNESS, relative));
   }
+
+  #getPool(service: string): PoolSlowness {
+    const { clock, fleet } = this.#options;
+    if (clock.now >= this.#poolsExpireAt) {
+      this.#pools.clear();
+      this.#poolsExpireAt = clock.now + CHECK_PERIOD_MS;
+    }
+    const known = this.#pools.get(service);
+    if (known !== undefined) return known;
+    const created = new PoolSlowness(fleet.listPool(service));
+    this.#pools.set(service, created);
+    return created;
+  }
+}
+
+/** How slow the busy targets of a pool were at one time. */
+class PoolSlowness {
+  readonly #busy: ReadonlySet<string>;
+  readonly #sorted: readonly number[];
+
+  constructor(pool: readonly TargetRecord[]) {
+    const busy = pool.filter(({ assignmentCount }) => assignmentCount > 0);
+    this.#busy = new Set(busy.map(({ id }) => id));
+    this.#sorted = busy.map(({ slowness }) => slowness).sort((left, right) => left - right);
+  }
+
+  /** Computes the lower median of the busy targets and a given one. */
+  computeMedianWith({ id, slowness }: TargetRecord): number {
+    const { length } = this.#sorted;
+    if (this.#busy.has(id)) return this.#sorted[(length - 1) >> 1] ?? slowness;
+    const middle = length >> 1;
+    const below = this.#sorted[middle - 1] ?? -Infinity;
+    return Math.max(below, Math.min(slowness, this.#sorted[middle] ?? Infinity));
+  }
 }
--- a/packages/execution/src/duration-store.ts
+++ b/packages/execution/src/duration-store.ts
@@ -13,6 +13,8 @@
 export const DURATION_TABLE = 'durations';
 /** Milliseconds between two writes. */
 const WRITE_PERIOD_MS = 5_000;
+/** Longest key of a row that the store takes, in UTF-8. */
+const MAXIMUM_KEY_BYTES = 200;
 /** Octaves by which an expectation must have changed before it is written. */
 const MINIMUM_CHANGE_OCTAVES = 0.3;
 
@@ -51,17 +53,18 @@
     const { clock } = this.#context;
     if (!this.#isLoaded || clock.now < this.#writeNotBefore) return;
     this.#writeNotBefore = clock.now + WRITE_PERIOD_MS;
-    if (this.#removeForgotten()) return;
     const { durations } = this.#context;
     let largest = MINIMUM_CHANGE_OCTAVES;
     let changed: string | undefined;
     for (const route of durations.routes) {
+      if (!this.#canWrite(route)) continue;
       const octaves = durations.measureChange(route);
       if (octaves < largest) continue;
       largest = octaves;
       changed = route;
     }
-    if (changed !== undefined) this.#write(changed, largest);
+    if (changed === undefined) this.#removeForgotten();
+    else this.#write(changed, largest);
   }
 
   /** Ends reading and writing. */
@@ -83,8 +86,8 @@
     logger.writeError('durations not decodable', { route: key, reason: message });
   }
 
-  /** Removes the row of one route of which nothing is known any more; returns whether there is one. */
-  #removeForgotten(): boolean {
+  /** Removes the row of one route of which nothing is known any more. */
+  #removeForgotten(): void {
     const { durations, writer } = this.#context;
     for (const [route, row] of this.#rows) {
       if (row.isKept || durations.listKinds(route) !== undefined) continue;
@@ -93,16 +96,20 @@
         continue;
       }
       writer.add(row);
-      return true;
+      return;
     }
-    return false;
+  }
+
+  /** Whether the store takes a row of this route and no later release has written one. */
+  #canWrite(route: string): boolean {
+    if (this.#rows.get(route)?.isKept === true) return false;
+    return Buffer.byteLength(route) <= MAXIMUM_KEY_BYTES;
   }
 
   #write(route: string, octaves: number): void {
     const { durations, logger, writer } = this.#context;
     const row = this.#rows.get(route) ?? new DurationRow(route, durations, 0);
     this.#rows.set(route, row);
-    row.isKept = false;
     durations.acceptAsStored(route);
     writer.add(row);
     logger.writeInfo('durations learned', {
@@ -118,7 +125,7 @@
   readonly table = DURATION_TABLE;
   readonly key: string;
   version: number;
-  /** Whether the row stays although nothing could be read from it. */
+  /** Whether the row stays as a later release has written it. */
   isKept = false;
   readonly #durations: DurationModel;
 
--- a/packages/execution/test/durations.test.ts
+++ b/packages/execution/test/durations.test.ts
@@ -239,7 +239,30 @@
       run(harness, harness.addTarget('t1'), 60, 3_000);
       harness.advance(WRITE_PERIOD_MS);
       store.sweep();
-      await waitUntil(() => harness.store.peek(ROW)?.value.includes('declared') === true);
+      await harness.context.writer.flush();
+      const written = harness.store.peek(ROW)?.value ?? '';
+      if (isKept) assert.equal(written, value);
+      else assert.match(written, /declared/);
     });
   }
+
+  it('writes what was learned although there are rows to remove and a name is too long', async () => {
+    const harness = await createHarness('{}');
+    const store = await createStore(harness);
+    const names = ['x'.repeat(201), 'other'];
+    for (const name of names) {
+      for (let run = 0; run < 60; run += 1) {
+        harness.context.durations.record(name, { ...STEP }, name === 'other' ? 3_000 : 9_000);
+      }
+    }
+    store.sweep();
+    await harness.context.writer.flush();
+    const [long, other] = names.map((key) => harness.store.peek({ ...ROW, key: key }));
+    assert.equal(long, undefined);
+    assert.match(other?.value ?? '', /declared/);
+    harness.advance(WRITE_PERIOD_MS);
+    store.sweep();
+    await harness.context.writer.flush();
+    assert.notEqual(harness.store.peek(ROW)?.isDeleted, false);
+  });
 });
