test(execution,ingress): a bound by elapsed time, and the answer to a withdrawn attempt

Traced by reading: the count is bounded by the elapsed time, not by 2 s. Change: the bound is one write for each 400 ms that passed, and one more; 6 in 2 s as before.

--- a/packages/execution/test/ledger.test.ts
+++ b/packages/execution/test/ledger.test.ts
@@ -68,14 +68,15 @@
     await harness.writeFence();
     harness.store.transactionMs = 200;
     const commits = harness.store.commitCount;
+    const startedAt = performance.now();
     for (let number = 0; number < 40; number += 1) {
       harness.context.ledger.add(harness.addJob(`00000000000000${number + 10}`, [{}]));
       await sleep(50);
     }
-    assert.ok(
-      harness.store.commitCount - commits <= 6,
-      `${harness.store.commitCount - commits} in 2 s`,
-    );
+    // A write takes 200 ms and is followed by as long a pause; sleeping takes longer under load.
+    const elapsedMs = performance.now() - startedAt;
+    const count = harness.store.commitCount - commits;
+    assert.ok(count <= 1 + Math.ceil(elapsedMs / 400), `${count} in ${elapsedMs} ms`);
     harness.context.writer.stop();
   });
 
--- a/packages/ingress/test/admission.test.ts
+++ b/packages/ingress/test/admission.test.ts
@@ -178,12 +178,12 @@
     assert.equal((await first.call('POST', id, BODY)).status, 200, 'it stays accepted');
   });
 
-  it('refuses an attempt that a node without knowledge of the refusal may have read late', async () => {
+  it('says that nothing is known of an attempt that a node may have read before the refusal', async () => {
     const { first, second, isStored } = createNodes();
     const id = '00000000000000a5';
     first.overload();
     assert.equal((await first.call('POST', id, BODY)).status, 429);
-    assert.equal((await second.call('POST', id, BODY)).status, 429);
+    assert.equal((await second.call('POST', id, BODY)).status, 504);
     assert.equal(isStored(id), false);
     await sleep(EXPIRY_MS);
     assert.equal((await second.call('POST', id, BODY)).status, 200);
