fix(scheduling): a reservation holds no target for long and no better work up

Change: targets are reserved at most 1.5 s ahead (with the overrun at most 2.25 s), and only in pools of 4 open targets or more; urgency and priority are kept with a reservation; it lapses when its data centre is evacuated or its pool becomes too small; ends come from estimateRemainingMs, scaled by the target's slowness; tasks that fit on no empty open target don't count as contention. A step that no target could be reserved for is tried again after 500 ms, not after another quarter of its slack.

--- a/packages/execution/src/pool-shares.ts
+++ b/packages/execution/src/pool-shares.ts
@@ -1,5 +1,5 @@
 import type { Configuration, Resources } from '@currantgap/model';
-import { getFootprint, hasRoom, ResourceSum } from '@currantgap/scheduling';
+import { getFootprint, hasRoom, ResourceSum, RoomCheck } from '@currantgap/scheduling';
 import {
   computeTeamShares,
   ShareOrder,
@@ -130,13 +130,19 @@
   }
 }
 
-/** Whether the waiting tasks request more of some resource than the open targets have free. */
+/**
+ * Whether the waiting tasks request more of some resource than the open targets have free. Tasks that
+ * fit on none of them, even if it is empty, don't count.
+ */
 function isContended(
   candidates: readonly ShareCandidate[],
   open: readonly TargetRecord[],
 ): boolean {
   const requested = new ResourceSum();
-  for (const { footprint, waiting } of candidates) addScaled(requested, footprint, waiting.length);
+  const nothing = new ResourceSum();
+  const empty = new RoomCheck(open.map(({ capacity }) => ({ capacity, used: nothing })));
+  for (const { footprint, waiting } of candidates)
+    if (empty.hasRoom(footprint)) addScaled(requested, footprint, waiting.length);
   const capacity = computeCapacity(open);
   const used = new ResourceSum();
   for (const target of open) used.add(target.used);
--- a/packages/execution/src/reservations.ts
+++ b/packages/execution/src/reservations.ts
@@ -7,18 +7,21 @@
   computeUrgency,
   getFootprint,
   isEligible,
+  isReservationOpenTo,
   isSmaller,
   shouldReserve,
   Urgency,
   type ExpectedEnd,
   type OrderingCriteria,
   type Reservation,
+  type ReservationRank,
 } from '@currantgap/scheduling';
-import type { OwnerContext } from './context.ts';
+import { getWallNow, type OwnerContext } from './context.ts';
+import { computeJobTiming } from './job-timing.ts';
 import type { TargetRecord } from './target-record.ts';
 
-/** Part of its expected duration that a run is expected to take longer once that has passed. */
-const OVERDUE_PART = 0.25;
+/** Milliseconds after which a target is sought again for a step that none could be reserved for. */
+const RETRY_MS = 500;
 /** Most distinct footprints for which the last start is kept; the oldest are dropped. */
 const MAXIMUM_FOOTPRINTS = 64;
 
@@ -37,12 +40,19 @@
   ready: BlockedStep;
   targets: readonly TargetRecord[];
   passNumber: number;
+  /** No target is sought before this time. */
+  retryAt: number;
+}
+
+/** A reservation with the rank of its step, as the last pass found it. */
+interface HeldReservation extends Reservation {
+  rank: ReservationRank;
 }
 
 /** Reservations of one pool, by the name of the step. */
 interface Pool {
   readonly blocked: Map<string, Blocked>;
-  readonly reserved: Map<string, Reservation>;
+  readonly reserved: Map<string, HeldReservation>;
   readonly lastStarts: Map<string, { readonly footprint: Resources; readonly at: number }>;
 }
 
@@ -72,8 +82,11 @@
     const { clock } = this.#context;
     const expectedMs = this.#estimateTaskMs(step);
     const closed: string[] = [];
+    let rank: ReservationRank | undefined;
     for (const [name, reservation] of reserved) {
       if (name === step.name || canBackfill(reservation, clock.now, expectedMs)) continue;
+      rank ??= this.#computeRank(step);
+      if (rank !== undefined && isReservationOpenTo(reservation.rank, rank)) continue;
       closed.push(reservation.targetId);
     }
     if (closed.length === 0) return targets;
@@ -96,7 +109,9 @@
   /** Records that a task of the step found no room on any of the targets. */
   recordBlocked(service: string, ready: BlockedStep, targets: readonly TargetRecord[]): void {
     if (computeUrgency(ready) === Urgency.VeryLate) return;
-    const { blocked } = this.#getPool(service);
+    const { blocked, reserved } = this.#getPool(service);
+    const reservation = reserved.get(ready.step.name);
+    if (reservation !== undefined) reservation.rank = toRank(ready);
     const known = blocked.get(ready.step.name);
     if (known !== undefined) {
       Object.assign(known, { ready, targets, passNumber: this.#passNumber });
@@ -112,6 +127,7 @@
       ready,
       targets,
       passNumber: this.#passNumber,
+      retryAt: now,
     });
   }
 
@@ -120,28 +136,43 @@
     for (const [service, pool] of this.#pools) {
       for (const [name, { passNumber }] of pool.blocked)
         if (passNumber !== this.#passNumber) pool.blocked.delete(name);
-      this.#expireReservations(pool);
+      this.#expireReservations(service, pool);
       this.#addReservation(service, pool);
       for (const entry of pool.blocked.values()) entry.targets = [];
     }
     this.#passNumber += 1;
   }
 
-  #expireReservations(pool: Pool): void {
-    const { clock, fleet } = this.#context;
+  #expireReservations(service: string, pool: Pool): void {
+    if (pool.reserved.size === 0) return;
+    const { now } = this.#context.clock;
+    const open = this.#listOpen(service);
+    const limit = computeReservationLimit(open.size);
     for (const [name, { targetId, expiresAt }] of pool.reserved) {
       const entry = pool.blocked.get(name);
       if (entry === undefined) {
         this.#endReservation(pool, name, 'reservation lapsed', { reason: 'waits no longer' });
-      } else if (fleet.find(targetId)?.isOpen(clock.now) !== true) {
+      } else if (!open.has(targetId)) {
         this.#endReservation(pool, name, 'reservation lapsed', { reason: 'target closed' });
-      } else if (clock.now >= expiresAt) {
-        entry.blockedSince = clock.now;
+      } else if (pool.reserved.size > limit) {
+        this.#endReservation(pool, name, 'reservation lapsed', { reason: 'pool too small' });
+      } else if (now >= expiresAt) {
+        entry.blockedSince = now;
         this.#endReservation(pool, name, 'reservation lapsed', { reason: 'not free in time' });
       }
     }
   }
 
+  /** Lists the ids of the targets of a pool that accept new work now. */
+  #listOpen(service: string): ReadonlySet<string> {
+    const { clock, fleet, getOperatorView } = this.#context;
+    const { evacuated } = getOperatorView();
+    const open = fleet
+      .listPool(service)
+      .filter((target) => target.isOpen(clock.now) && !evacuated.has(target.entry.dataCentre));
+    return new Set(open.map(({ id }) => id));
+  }
+
   #addReservation(service: string, pool: Pool): void {
     if (pool.blocked.size === 0 || pool.reserved.size >= computeReservationLimit(Infinity)) return;
     const { clock, logger } = this.#context;
@@ -154,7 +185,8 @@
       step: step.definition,
       countOn: (id: string): number => step.countAttemptsOn(id),
     };
-    if (pool.reserved.size >= computeReservationLimit(targets.length)) return;
+    const limit = computeReservationLimit(this.#listOpen(service).size);
+    if (pool.reserved.size >= limit) return;
     const taken = new Set([...pool.reserved.values()].map(({ targetId }) => targetId));
     const candidates = targets
       .filter((target) => !taken.has(target.id) && isEligible(request, target))
@@ -166,11 +198,16 @@
       }));
     const reservation = chooseReservation(ready.footprint, candidates, now, latestStart);
     if (reservation === undefined) {
-      found.blockedSince = now;
+      found.retryAt = now + RETRY_MS;
       return;
     }
     const { targetId, startsAt, expiresAt } = reservation;
-    pool.reserved.set(ready.step.name, { targetId, startsAt, expiresAt });
+    pool.reserved.set(ready.step.name, {
+      targetId,
+      startsAt,
+      expiresAt,
+      rank: toRank(ready),
+    });
     logger.writeInfo('target reserved', {
       request: ready.step.job.id,
       step: ready.step.name,
@@ -188,7 +225,8 @@
     let longest: Blocked | undefined;
     for (const [name, entry] of pool.blocked) {
       if (entry.ready.step.definition.isGang || pool.reserved.has(name)) continue;
-      if (entry.blockedSince >= (longest?.blockedSince ?? Infinity)) continue;
+      if (entry.retryAt > now || entry.blockedSince >= (longest?.blockedSince ?? Infinity))
+        continue;
       const { footprint } = entry.ready;
       const { blockedSince, startBy } = entry;
       const smallerStartedAt = findSmallerStart(pool, footprint);
@@ -199,7 +237,7 @@
   }
 
   #listExpectedEnds(target: TargetRecord): ExpectedEnd[] {
-    const { bounds, clock } = this.#context;
+    const { bounds, clock, durations } = this.#context;
     const ends: ExpectedEnd[] = [];
     for (const { task, attempt } of target.assignments) {
       const { definition } = task.step;
@@ -212,14 +250,29 @@
         ends.push({ footprint, endsAt: Infinity });
         continue;
       }
-      const expectedMs = this.#estimateTaskMs(task.step) * Math.max(1, target.slowness);
-      const endsAt = attempt.startedAt + expectedMs;
-      const isOverdue = endsAt <= clock.now;
-      ends.push({ footprint, endsAt: isOverdue ? clock.now + OVERDUE_PART * expectedMs : endsAt });
+      const slowness = Math.max(1, target.slowness);
+      const elapsedMs = (clock.now - attempt.startedAt) / slowness;
+      const { route } = task.step.job.stored;
+      const remainingMs = durations.estimateRemainingMs(route, definition, elapsedMs) * slowness;
+      ends.push({ footprint, endsAt: clock.now + Math.max(0, remainingMs) });
     }
     return ends;
   }
 
+  /** Computes the rank of a step that is about to be placed; undefined if its job has ended. */
+  #computeRank(step: StepRun): ReservationRank | undefined {
+    const record = this.#context.active.get(step.job.id);
+    if (record?.route === undefined) return undefined;
+    return toRank({
+      isPersistent: step.definition.isPersistent,
+      priority: record.route.priority,
+      ...computeJobTiming(this.#context, record, step, getWallNow()),
+      isWithinWeight: record.isWithinWeight,
+      hasStarted: record.job.hasStarted,
+      acceptedAt: record.arrivedAt,
+    });
+  }
+
   #estimateTaskMs(step: StepRun): number {
     return this.#context.durations.estimateTaskMs(step.job.stored.route, step.definition);
   }
@@ -253,6 +306,10 @@
   }
 }
 
+function toRank(step: OrderingCriteria): ReservationRank {
+  return { urgency: computeUrgency(step), priority: step.priority };
+}
+
 /** Finds the last start of a task smaller than the footprint; -Infinity if there was none. */
 function findSmallerStart({ lastStarts }: Pool, footprint: Resources): number {
   let last = -Infinity;
--- a/packages/scheduling/src/reservation.ts
+++ b/packages/scheduling/src/reservation.ts
@@ -1,4 +1,5 @@
 import type { Resources } from '@currantgap/model';
+import type { Urgency } from './order.ts';
 import { hasRoom, ResourceSum } from './resources.ts';
 
 /** Part of its slack for which a task waits without room before a target is reserved for it. */
@@ -7,6 +8,10 @@
 const RESERVED_POOL_PART = 0.1;
 /** Most targets of a pool that are reserved at a time. */
 const MAXIMUM_RESERVED = 3;
+/** Fewest open targets with which a pool can spare one. */
+const MINIMUM_POOL_TARGETS = 4;
+/** Most milliseconds ahead for which a target is reserved, since it may be idle until then. */
+const MAXIMUM_LEAD_MS = 1_500;
 /** Part of the time until a reservation's start by which the runs before it may take longer. */
 const OVERRUN_PART = 0.5;
 /** Milliseconds after its start for which a reservation is kept at least. */
@@ -47,6 +52,12 @@
   readonly expiresAt: number;
 }
 
+/** What determines which of two steps goes first: urgency, then priority, lowest first. */
+export interface ReservationRank {
+  readonly urgency: Urgency;
+  readonly priority: number;
+}
+
 /** Whether a target should be reserved for a task: smaller ones take the room that it waits for. */
 export function shouldReserve(task: BlockedTask, now: number): boolean {
   const slackMs = Math.max(0, task.startBy - task.blockedSince);
@@ -54,14 +65,15 @@
   return task.smallerStartedAt > task.blockedSince;
 }
 
-/** Computes how many targets of a pool may be reserved at a time. */
+/** Computes how many targets of a pool with so many open ones may be reserved at a time. */
 export function computeReservationLimit(targetCount: number): number {
+  if (targetCount < MINIMUM_POOL_TARGETS) return 0;
   return Math.min(MAXIMUM_RESERVED, Math.max(1, Math.floor(targetCount * RESERVED_POOL_PART)));
 }
 
 /**
  * Chooses the target that is expected to have room for the footprint soonest. Returns undefined if
- * none has it by `latestStart`.
+ * none has it by `latestStart`, or none soon enough to keep the target free until then.
  */
 export function chooseReservation<T extends ReservableTarget>(
   footprint: Resources,
@@ -69,11 +81,12 @@
   now: number,
   latestStart: number,
 ): (Reservation & { readonly target: T }) | undefined {
+  const latest = Math.min(latestStart, now + MAXIMUM_LEAD_MS);
   let best: T | undefined;
   let startsAt = Infinity;
   for (const target of targets) {
     const freeAt = computeFreeAt(footprint, target, now);
-    if (freeAt >= startsAt || freeAt > latestStart) continue;
+    if (freeAt >= startsAt || freeAt > latest) continue;
     best = target;
     startsAt = freeAt;
   }
@@ -87,6 +100,12 @@
   return now + expectedMs <= reservation.startsAt;
 }
 
+/** Whether a step goes before the one that a target is reserved for, which then does not hold it up. */
+export function isReservationOpenTo(reserved: ReservationRank, step: ReservationRank): boolean {
+  if (step.urgency !== reserved.urgency) return step.urgency < reserved.urgency;
+  return step.priority < reserved.priority;
+}
+
 /** Whether one footprint takes less of some resource than another one, and more of none. */
 export function isSmaller(left: Resources, right: Resources): boolean {
   if (left.cpuMillis > right.cpuMillis) return false;
