test(execution): a full pool is shared once VMs had time to come

Cause: shares and reservations come into force only after a pool was contended for two moves of VMs; the tests of a full pool had it contended for a moment. Change: these tests keep the pool full for that time first; one new test shows the order by urgency before it. The bounds are as before.

--- a/packages/execution/test/full-pool.test.ts
+++ b/packages/execution/test/full-pool.test.ts
@@ -12,6 +12,9 @@
 const SMALL = '0000000000000001';
 const LARGE = '0000000000000002';
 const OTHER = '0000000000000003';
+const FILLER = '0000000000000004';
+/** Milliseconds after which VMs can have come to a full pool. */
+const RELIEF_MS = 3_000;
 const LARGE_STEP = { request: { cpuMillis: 4 * CORE, memoryMb: 1_024, gpus: 0 } };
 /** Milliseconds that a small run takes; each core of the pool has one. */
 const SMALL_MS = 1_000;
@@ -21,7 +24,7 @@
 class FullPool {
   readonly harness = new TermHarness();
   readonly targets: readonly TargetRecord[];
-  readonly arrivedAt = this.harness.now;
+  arrivedAt = this.harness.now;
   #planner = this.#createPlanner();
 
   constructor(targetCount = 2) {
@@ -38,6 +41,19 @@
     return this.#planner.computeShares();
   }
 
+  /** Keeps the pool full for longer than VMs take to come, and leaves it empty. */
+  keepFull(): void {
+    const job = this.harness.addJob(FILLER, [{ count: 100 }]);
+    for (let elapsedMs = 0; elapsedMs <= RELIEF_MS; elapsedMs += RELIEF_MS / 4) {
+      this.plan();
+      this.harness.advance(RELIEF_MS / 4);
+    }
+    job.cancel();
+    for (const target of this.targets)
+      for (const run of [...target.assignments]) this.harness.fleet.unassign(target, run);
+    this.arrivedAt = this.harness.now;
+  }
+
   /** Replaces the planner as a change of owner does. */
   changeOwner(): void {
     this.#planner = this.#createPlanner();
@@ -112,6 +128,7 @@
   describe('with a hot team', () => {
     it('is shared with the team that asks for little', () => {
       const pool = new FullPool();
+      pool.keepFull();
       pool.harness.addJob(SMALL, [{ count: 50 }], false, 'hot');
       pool.harness.addJob(LARGE, [{ count: 3 }], false, 'quiet');
       pool.plan();
@@ -123,6 +140,14 @@
       assert.deepEqual(shares.get('hot'), { held: 0.625, owed: 0.625 });
     });
 
+    it('goes by urgency alone as long as VMs may still come', () => {
+      const pool = new FullPool();
+      pool.harness.addJob(SMALL, [{ count: 50 }], false, 'hot');
+      pool.harness.addJob(LARGE, [{ count: 3 }], false, 'quiet');
+      pool.plan();
+      assert.equal(pool.countStarts(SMALL), 8);
+    });
+
     it('is logged once when it fills and once when it has had room for a while', () => {
       const pool = new FullPool();
       const job = pool.harness.addJob(SMALL, [{ count: 50 }]);
@@ -157,6 +182,7 @@
   describe('with a large task beside a stream of small ones', () => {
     function createPool(targetCount = 4): FullPool {
       const pool = new FullPool(targetCount);
+      pool.keepFull();
       pool.harness.addJob(SMALL, [{ count: 400 }]);
       pool.plan();
       pool.harness.addJob(LARGE, [LARGE_STEP]);
