fix(execution): pools are sized by the longer of declared and expected durations

Ruled out: shares, which are not in force in the first 3 s. Change: arrivals count the longer of both.

--- a/packages/execution/src/pool-arrivals.ts
+++ b/packages/execution/src/pool-arrivals.ts
@@ -17,9 +17,11 @@
     let cpuWork = 0;
     let memoryWork = 0;
     for (const step of job.stored.submission.steps) {
-      const taskMs = step.count * this.#durations.estimateTaskMs(job.stored.route, step);
-      cpuWork += taskMs * step.request.cpuMillis;
-      memoryWork += taskMs * step.request.memoryMb;
+      // The expected duration leaves out the tail, which needs room as well.
+      const expectedMs = this.#durations.estimateTaskMs(job.stored.route, step);
+      const workMs = step.count * Math.max(step.estimatedMs, expectedMs);
+      cpuWork += workMs * step.request.cpuMillis;
+      memoryWork += workMs * step.request.memoryMb;
     }
     const meter = this.#meters.get(service) ?? new ArrivalMeter();
     this.#meters.set(service, meter);
