feat(execution,node): admission, copies and shares act only where the settings name them

Change: features= in a node's settings names what is on; by default nothing is. An unknown name is a fault.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -1,5 +1,5 @@
 import type { DurationModel } from '@currantgap/estimation';
-import type { Route } from '@currantgap/model';
+import type { Feature, Route } from '@currantgap/model';
 import type { Term } from '@currantgap/ownership';
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
@@ -31,6 +31,8 @@
   readonly holderChangeMs: number;
   /** Time that a VM takes to move between pools; 0 if unknown. */
   readonly moveMs?: number;
+  /** Features that the deployment does not use; none if undefined. */
+  readonly disabledFeatures?: ReadonlySet<Feature>;
 }
 
 /** State of one term, shared by the components of the owner's task. */
--- a/packages/execution/src/pool-shares.ts
+++ b/packages/execution/src/pool-shares.ts
@@ -1,4 +1,4 @@
-import type { Configuration, Resources } from '@currantgap/model';
+import { Feature, type Configuration, type Resources } from '@currantgap/model';
 import { getFootprint, hasRoom, ResourceSum, RoomCheck } from '@currantgap/scheduling';
 import {
   computeTeamShares,
@@ -64,7 +64,7 @@
   isShort(service: string): boolean {
     const { clock, bounds } = this.#context;
     const contention = this.#contended.get(service);
-    if (contention === undefined) return false;
+    if (contention === undefined || bounds.disabledFeatures?.has(Feature.Shares)) return false;
     const relievedAt = contention.since + MOVES_TO_RELIEF * (bounds.moveMs ?? DEFAULT_MOVE_MS);
     return clock.now >= relievedAt;
   }
--- a/packages/execution/src/run-copier.ts
+++ b/packages/execution/src/run-copier.ts
@@ -5,7 +5,7 @@
   type StepRun,
   type TaskRun,
 } from '@currantgap/jobs';
-import type { Route, Step } from '@currantgap/model';
+import { Feature, type Route, type Step } from '@currantgap/model';
 import {
   canHaveCopies,
   chooseTarget,
@@ -90,8 +90,9 @@
 
   /** Starts the copies that are worth it, those of the longest overdue runs first. */
   plan(pools: PlannedPools): void {
-    const { now } = this.#options.context.clock;
-    if (now < this.#searchNotBefore) return;
+    const { clock, bounds } = this.#options.context;
+    const { now } = clock;
+    if (now < this.#searchNotBefore || bounds.disabledFeatures?.has(Feature.Copies)) return;
     this.#searchNotBefore = now + SEARCH_PERIOD_MS;
     this.#log.recordEnds();
     const stragglers = this.#listStragglers(pools.crowded);
--- a/packages/execution/test/full-pool.test.ts
+++ b/packages/execution/test/full-pool.test.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import { TargetState } from '@currantgap/model';
+import { Feature, TargetState } from '@currantgap/model';
 import { setLogSink } from '@currantgap/telemetry';
 import { AdviceCache } from '../src/advice-cache.ts';
+import type { OwnerContext } from '../src/context.ts';
 import { Planner } from '../src/planner.ts';
 import { Quarantine } from '../src/quarantine.ts';
 import { RunOrders } from '../src/run-orders.ts';
@@ -25,9 +26,12 @@
   readonly harness = new TermHarness();
   readonly targets: readonly TargetRecord[];
   arrivedAt = this.harness.now;
-  #planner = this.#createPlanner();
+  #planner: Planner;
 
-  constructor(targetCount = 2) {
+  constructor(targetCount = 2, disabledFeatures = new Set<Feature>()) {
+    const { context } = this.harness;
+    const bounds = { ...context.bounds, disabledFeatures };
+    this.#planner = this.#createPlanner({ ...context, bounds });
     this.targets = Array.from({ length: targetCount }, (_, index) =>
       this.harness.addTarget(`t${index + 1}`, { dataCentre: `dc-${index + 1}` }),
     );
@@ -56,7 +60,7 @@
 
   /** Replaces the planner as a change of owner does. */
   changeOwner(): void {
-    this.#planner = this.#createPlanner();
+    this.#planner = this.#createPlanner(this.harness.context);
   }
 
   /** Sets the priority of a job's route. */
@@ -102,8 +106,7 @@
     task.step.finishTask(task);
   }
 
-  #createPlanner(): Planner {
-    const { context } = this.harness;
+  #createPlanner(context: OwnerContext): Planner {
     const quarantine = new Quarantine(context.clock, () => undefined);
     const advice = new AdviceCache(context, undefined);
     return new Planner(context, new RunOrders(context), advice, quarantine, {
@@ -148,6 +151,15 @@
       assert.equal(pool.countStarts(SMALL), 8);
     });
 
+    it('goes by urgency alone where the settings do not name shares', () => {
+      const pool = new FullPool(2, new Set([Feature.Shares]));
+      pool.keepFull();
+      pool.harness.addJob(SMALL, [{ count: 50 }], false, 'hot');
+      pool.harness.addJob(LARGE, [{ count: 3 }], false, 'quiet');
+      pool.plan();
+      assert.equal(pool.countStarts(SMALL), 8);
+    });
+
     it('is logged once when it fills and once when it has had room for a while', () => {
       const pool = new FullPool();
       const job = pool.harness.addJob(SMALL, [{ count: 50 }]);
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -1,4 +1,5 @@
 export * from './fault.ts';
+export * from './feature.ts';
 export type * from './names.ts';
 export * from './outcome.ts';
 export * from './random.ts';
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -2,7 +2,7 @@
 import { NORMAL_LEASE_MS, Owner } from '@currantgap/execution';
 import { acceptForwarder, Forwarder, ForwarderPool } from '@currantgap/forwarding';
 import { IngressHandler } from '@currantgap/ingress';
-import { describeError } from '@currantgap/model';
+import { describeError, Feature } from '@currantgap/model';
 import {
   computeTakeOverDelay,
   Ownership,
@@ -176,7 +176,7 @@
   }
 
   override handleTaken(term: Term): void {
-    const { bounds, dataCentre } = this.#settings.current;
+    const { bounds, dataCentre, disabledFeatures } = this.#settings.current;
     this.#metrics.isOwner.set(1);
     this.#metrics.takeOvers.inc();
     const pool = new ForwarderPool({
@@ -188,7 +188,7 @@
     this.#forwarderPool = pool;
     const owner = new Owner({
       term,
-      bounds,
+      bounds: { ...bounds, disabledFeatures },
       store: this.#store,
       pageSizer: this.#pageSizer,
       clock: new SystemClock(),
@@ -199,7 +199,9 @@
       getOperatorView: () => this.#operatorFeed.view,
       vmPort: this.#createVmPort(),
       advicePort: this.#createAdvicePort(),
-      admissionPort: new AdmissionRelay(pool, this.#evidence, this.#metrics),
+      admissionPort: disabledFeatures.has(Feature.Admission)
+        ? undefined
+        : new AdmissionRelay(pool, this.#evidence, this.#metrics),
       hasFreshLease: () => this.#ownership.isLeaseFresh,
       hasValidLease: () => this.#isStopping || this.#ownership.isLeaseValid,
       encodeWaveStatus: (wave, isComplete) => ({
