--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -1,3 +1,4 @@
+import { Feature } from '@currantgap/model';
 import type { ResponseTimes } from '@currantgap/scheduling';
 import type { OwnerContext } from './context.ts';
 import { EndAcknowledger } from './end-acknowledger.ts';
@@ -113,6 +114,7 @@
    * it. After a few in a row the target counts as slow or silent, which their timeouts show.
    */
   #abandonIfOverdue(target: TargetRecord): void {
+    if (this.#context.bounds.disabledFeatures?.has(Feature.OverdueCalls)) return;
     if (!target.isRenewalInFlight || target.assignmentCount === 0) return;
     if (this.#context.clock.now < target.renewalDueAt + READ_MARGIN_MS) return;
     if (target.overdueRenewals >= MAXIMUM_OVERDUE_RENEWALS) return;
--- a/packages/execution/src/start-watch.ts
+++ b/packages/execution/src/start-watch.ts
@@ -1,4 +1,5 @@
 import { AttemptPhase } from '@currantgap/jobs';
+import { Feature } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
 import type { RunOrders } from './run-orders.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
@@ -34,7 +35,9 @@
 
   /** Doubts the starts that are overdue. */
   sweep(): void {
-    const { now } = this.#context.clock;
+    const { bounds, clock } = this.#context;
+    if (bounds.disabledFeatures?.has(Feature.OverdueCalls)) return;
+    const { now } = clock;
     const { limitMs } = this.#orders.startTimes;
     let doubts = 0;
     const doubted = new Set<TargetRecord>();
