--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -23,6 +23,8 @@
   readonly #context: OwnerContext;
   readonly #vmController: VmController;
   #hasSeenJobs = false;
+  /** Whether a job that ends by itself has arrived in this term, so that pools show their demand. */
+  #hasSeenDemand = false;
   readonly #surplusSince = new Map<string, number>();
 
   constructor(context: OwnerContext, vmController: VmController) {
@@ -30,12 +32,17 @@
     this.#vmController = vmController;
   }
 
-  /** Starts the moves that bring each pool to its computed size. */
+  /**
+   * Starts the moves that bring each pool to its computed size. Until the first work arrives that is
+   * not persistent, pools keep what operators gave them: with VMs taken away on no evidence, the first
+   * callers would wait until others are there.
+   */
   sweep(getLoads: () => ReadonlyMap<string, PoolLoad>): void {
     const services = this.#context.getOperatorView().configuration?.services ?? [];
     const spare = services.find(({ isSpare }) => isSpare)?.name;
     // No VM is moved before the first job arrives, because VMs may still be starting until then.
     this.#hasSeenJobs ||= this.#context.active.size > 0;
+    this.#hasSeenDemand ||= hasFiniteWork(this.#context.active.values());
     if (spare === undefined || !this.#vmController.isReady || !this.#hasSeenJobs) return;
     const loads = getLoads();
     const members = this.#groupVms();
@@ -107,7 +114,8 @@
     const receivers: string[] = [];
     for (const pool of pools) {
       const vms = members.get(pool) ?? [];
-      const surplus = vms.length - (sizes.get(pool) ?? vms.length);
+      const difference = vms.length - (sizes.get(pool) ?? vms.length);
+      const surplus = this.#hasSeenDemand ? difference : Math.min(0, difference);
       for (let missing = -surplus; missing > 0; missing -= 1) receivers.push(pool);
       if (surplus <= 0) this.#surplusSince.delete(pool);
       else if (!this.#surplusSince.has(pool)) this.#surplusSince.set(pool, now);
@@ -158,3 +166,11 @@
   }
   return Math.ceil(required);
 }
+
+/** Whether any job has work that ends by itself. */
+function hasFiniteWork(records: Iterable<JobRecord>): boolean {
+  for (const { job } of records) {
+    if (job.stored.submission.steps.some((step) => !step.isPersistent)) return true;
+  }
+  return false;
+}
