feat(fleet,execution,scheduling): pools are sized by what can be worked off, with standing room

The size was the sum of used and waiting cores, or the highest rate of three windows, each of which errs upwards at times; VMs left only after 2 s of memory and 2 s of surplus.

--- a/packages/execution/src/intake.ts
+++ b/packages/execution/src/intake.ts
@@ -65,7 +65,7 @@
       const record = this.#buildRecord(job, isInherited);
       active.set(job.id, record);
       if (!isInherited && record.route !== undefined) {
-        arrivals.record(record.route.service, job, clock.now);
+        arrivals.record(record.route, job, clock.now);
       }
     }
   }
--- a/packages/execution/src/pool-load.ts
+++ b/packages/execution/src/pool-load.ts
@@ -1,6 +1,8 @@
+import type { StepRun } from '@currantgap/jobs';
 import type { Resources } from '@currantgap/model';
 import { getFootprint, ResourceSum } from '@currantgap/scheduling';
 import { getWallNow, type OwnerContext } from './context.ts';
+import { computeJobTiming } from './job-timing.ts';
 
 /** Milliseconds between log entries with the load of each pool. */
 const REPORT_PERIOD_MS = 2_000;
@@ -15,8 +17,17 @@
   readonly persistent: ResourceSum;
   readonly waiting: ResourceSum;
   waitingTasks: number;
+  /** Work, resources times milliseconds, of waiting tasks; less of those that are too late to count. */
+  readonly waitingWork: ResourceSum;
+  /** Work, resources times milliseconds, that running tasks have left; half of each on average. */
+  readonly runningWork: ResourceSum;
 }
 
+/** Weight of work that is too late to count: it is worked off, but calls for few VMs of its own. */
+const TOO_LATE_WEIGHT = 0.2;
+/** Part of a task's duration that a running task has left on average. */
+const MEAN_REMAINING_PART = 0.5;
+
 /** Computes the load of each pool, by service name. */
 export function computePoolLoads(context: OwnerContext): Map<string, PoolLoad> {
   const loads = new Map<string, PoolLoad>();
@@ -33,27 +44,40 @@
     load.targets += 1;
     load.capacity.add(target.capacity);
     load.used.add(target.used);
-    for (const { task } of target.assignments) {
-      const step = task.step.definition;
-      if (step.isPersistent) load.persistent.add(getFootprint(step));
-    }
+    for (const { task } of target.assignments) addRunning(context, load, task.step);
   }
   addWaiting(context, getLoad);
   return loads;
 }
 
+function addRunning({ durations }: OwnerContext, load: PoolLoad, step: StepRun): void {
+  const { definition, job } = step;
+  const footprint = getFootprint(definition);
+  if (definition.isPersistent) {
+    load.persistent.add(footprint);
+    return;
+  }
+  const expectedMs = durations.estimateTaskMs(job.stored.route, definition);
+  load.runningWork.addScaled(footprint, MEAN_REMAINING_PART * expectedMs);
+}
+
 function addWaiting(context: OwnerContext, getLoad: (service: string) => PoolLoad): void {
   const wallNow = getWallNow();
-  for (const { job, route } of context.active.values()) {
+  for (const record of context.active.values()) {
+    const { job, route } = record;
     if (route === undefined) continue;
     const load = getLoad(route.service);
     for (const step of job.listRunnableSteps(wallNow)) {
+      const tasks = step.tasks.filter((task) => !task.isDone && !task.isActive).length;
+      if (tasks === 0) continue;
       const footprint = getFootprint(step.definition);
-      for (const task of step.tasks) {
-        if (task.isDone || task.isActive) continue;
-        load.waiting.add(footprint);
-        load.waitingTasks += 1;
-      }
+      load.waiting.addScaled(footprint, tasks);
+      load.waitingTasks += tasks;
+      const { remainingMs, timeToLateLimitMs } = computeJobTiming(context, record, step, wallNow);
+      if (step.definition.isPersistent) continue;
+      const expectedMs = context.durations.estimateTaskMs(route.name, step.definition);
+      const weight = remainingMs > timeToLateLimitMs ? TOO_LATE_WEIGHT : 1;
+      load.waitingWork.addScaled(footprint, weight * tasks * expectedMs);
     }
   }
 }
@@ -103,5 +127,7 @@
     persistent: new ResourceSum(),
     waiting: new ResourceSum(),
     waitingTasks: 0,
+    waitingWork: new ResourceSum(),
+    runningWork: new ResourceSum(),
   };
 }
--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -1,5 +1,11 @@
-import { decidePoolSizes, type PoolDemand } from '@currantgap/fleet';
-import { TargetState, VmState, type Vm } from '@currantgap/model';
+import {
+  computeRequiredAmount,
+  computeStandingShare,
+  decidePoolSizes,
+  type PoolDemand,
+} from '@currantgap/fleet';
+import { TargetState, VmState, type Resources, type Vm } from '@currantgap/model';
+import { ResourceSum } from '@currantgap/scheduling';
 import type { OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
 import type { PoolLoad } from './pool-load.ts';
@@ -7,9 +13,11 @@
 import { VmOccupancy } from './vm-occupancy.ts';
 
 /** Milliseconds for which a pool must have surplus VMs before one is switched off. */
-const SURPLUS_MS = 2_000;
-/** Share of the waiting work that is added to the load computed from the arrival rate. */
-const BACKLOG_SHARE = 0.5;
+const SURPLUS_MS = 1_000;
+/** Milliseconds from the decision to move a VM to its order, and from its start to its first task. */
+const BRING_UP_MARGIN_MS = 500;
+/** Part of a pool's size at the begin of a term above which a load that lasted counts as its height. */
+const MINIMUM_HEIGHT = 0.25;
 
 /** A VM that the pool sizer counts and may move. */
 interface MovableVm {
@@ -26,6 +34,8 @@
   /** Whether a job that ends by itself has arrived in this term, so that pools show their demand. */
   #hasSeenDemand = false;
   readonly #surplusSince = new Map<string, number>();
+  /** Capacity of each pool when its VMs were first counted in this term. */
+  readonly #initialCapacity = new Map<string, Resources>();
 
   constructor(context: OwnerContext, vmController: VmController) {
     this.#context = context;
@@ -83,24 +93,74 @@
     load: PoolLoad | undefined,
     members: readonly MovableVm[] = [],
   ): PoolDemand {
-    const { active, arrivals, clock } = this.#context;
+    const { active, arrivals, bounds, clock } = this.#context;
     const hostingVms = members.filter(({ hasPersistent }) => hasPersistent).length;
     const persistentVms = Math.max(hostingVms, computeRequiredVms(active.values(), service));
     const vmCapacity = members[0]?.vm.capacity;
     if (load === undefined || vmCapacity === undefined)
       return { service, persistentVms, demandVms: 0 };
     const arriving = arrivals.computeLoad(service, clock.now);
-    const cpuMillis = load.used.cpuMillis + load.waiting.cpuMillis;
-    const memoryMb = load.used.memoryMb + load.waiting.memoryMb;
-    const expectedCpuMillis =
-      load.persistent.cpuMillis + arriving.cpuMillis + BACKLOG_SHARE * load.waiting.cpuMillis;
-    const expectedMemoryMb =
-      load.persistent.memoryMb + arriving.memoryMb + BACKLOG_SHARE * load.waiting.memoryMb;
-    const demandVms = Math.max(
-      Math.max(cpuMillis, expectedCpuMillis) / vmCapacity.cpuMillis,
-      Math.max(memoryMb, expectedMemoryMb) / vmCapacity.memoryMb,
-    );
-    return { service, persistentVms, demandVms };
+    const height = this.#computeHeight(service, members);
+    const times = {
+      bringUpMs: (bounds.moveMs ?? 0) + BRING_UP_MARGIN_MS,
+      slackMs: arrivals.getSlackMs(service) ?? this.#getLeastSlackMs(service),
+    };
+    const countVms = (resource: 'cpuMillis' | 'memoryMb'): number => {
+      const persistent = load.persistent[resource];
+      const capacity = load.capacity[resource];
+      const required = computeRequiredAmount(
+        {
+          persistent,
+          running: load.used[resource] - persistent,
+          arriving: arriving[resource],
+          waitingWork: load.waitingWork[resource],
+          runningWork: load.runningWork[resource],
+          capacity,
+          incoming: Math.max(0, members.length * vmCapacity[resource] - capacity),
+        },
+        times,
+      );
+      return required / vmCapacity[resource];
+    };
+    const standingShare = computeStandingShare(times);
+    const countStandingVms = (resource: 'cpuMillis' | 'memoryMb'): number =>
+      (load.persistent[resource] + standingShare * height[resource]) / vmCapacity[resource];
+    return {
+      service,
+      persistentVms,
+      demandVms: Math.max(countVms('cpuMillis'), countVms('memoryMb')),
+      standingVms: Math.max(countStandingVms('cpuMillis'), countStandingVms('memoryMb')),
+    };
+  }
+
+  /**
+   * Computes the load that a pool has at its height: the highest that lasted in this term or, before
+   * one was seen, what the pool could hold at the begin of the term.
+   */
+  #computeHeight(
+    service: string,
+    members: readonly MovableVm[],
+  ): Pick<Resources, 'cpuMillis' | 'memoryMb'> {
+    const initial = this.#initialCapacity.get(service) ?? computeCapacity(members);
+    this.#initialCapacity.set(service, initial);
+    const peak = this.#context.arrivals.computePeak(service);
+    const isSeen =
+      peak.cpuMillis > MINIMUM_HEIGHT * initial.cpuMillis ||
+      peak.memoryMb > MINIMUM_HEIGHT * initial.memoryMb;
+    if (!isSeen) return initial;
+    return {
+      cpuMillis: Math.min(peak.cpuMillis, initial.cpuMillis),
+      memoryMb: Math.min(peak.memoryMb, initial.memoryMb),
+    };
+  }
+
+  /** Gets the least time that the work of a service may wait, in milliseconds, before any has arrived. */
+  #getLeastSlackMs(service: string): number {
+    const routes = this.#context.getOperatorView().configuration?.routes ?? [];
+    const slacks = routes
+      .filter((route) => route.service === service)
+      .map(({ latencyObjectiveMs }) => latencyObjectiveMs);
+    return slacks.length > 0 ? Math.min(...slacks) : 0;
   }
 
   #move(
@@ -167,6 +227,12 @@
   return Math.ceil(required);
 }
 
+function computeCapacity(members: readonly MovableVm[]): Resources {
+  const sum = new ResourceSum();
+  for (const { vm } of members) sum.add(vm.capacity);
+  return sum;
+}
+
 /** Whether any job has work that ends by itself. */
 function hasFiniteWork(records: Iterable<JobRecord>): boolean {
   for (const { job } of records) {
--- a/packages/execution/src/vm-manager.ts
+++ b/packages/execution/src/vm-manager.ts
@@ -85,7 +85,6 @@
    */
   sweep(): void {
     if (!this.#isLoaded) return;
-    this.#vmController.sweep();
     let loads: ReadonlyMap<string, PoolLoad> | undefined;
     // Loads are computed at most once per sweep, because starting a plan does not change them, and
     // only on demand, because many sweeps need none.
@@ -93,5 +92,6 @@
       (loads ??= computePoolLoads(this.#context));
     this.#waveController.sweep(getLoads);
     this.#poolSizer.sweep(getLoads);
+    this.#vmController.sweep();
   }
 }
--- /dev/null
+++ b/packages/fleet/src/pool-demand.ts
@@ -0,0 +1,58 @@
+/** One resource of a pool, in its unit (thousandths of a core or megabytes); work is that times ms. */
+export interface PoolResource {
+  /** In use by tasks that never end. */
+  readonly persistent: number;
+  /** In use by all other tasks. */
+  readonly running: number;
+  /** Will be in use if work goes on arriving at the current rate. */
+  readonly arriving: number;
+  /** Work of tasks that wait for room. */
+  readonly waitingWork: number;
+  /** Work that the running tasks have left. */
+  readonly runningWork: number;
+  /** Of the targets that are there. */
+  readonly capacity: number;
+  /** Of the VMs on the way. */
+  readonly incoming: number;
+}
+
+/** Times of a pool, in milliseconds. */
+export interface PoolTimes {
+  /** From the decision to add a VM until its target runs tasks. */
+  readonly bringUpMs: number;
+  /** For which the work of the pool may wait for room and still meet its latency objective. */
+  readonly slackMs: number;
+}
+
+/** Part of a target's capacity that tasks of mixed sizes fill. */
+const PACKING = 0.85;
+/** Shortest time within which a backlog is to be worked off, in milliseconds. */
+const MINIMUM_DRAIN_MS = 2_000;
+
+/**
+ * Computes how much of a resource a pool needs: for the load that arrives, and for the backlog that is
+ * left when VMs ordered now have come.
+ *
+ * Answers a load that rises within a moment and ends after some seconds. What waits while VMs are on
+ * the way does not call for more of them, or the pool takes those that the next pool needs.
+ */
+export function computeRequiredAmount(resource: PoolResource, times: PoolTimes): number {
+  const { persistent, running, arriving, capacity, incoming } = resource;
+  const { bringUpMs, slackMs } = times;
+  const workDone =
+    PACKING * (Math.max(0, capacity - persistent) * bringUpMs + (incoming * bringUpMs) / 2);
+  const backlog = Math.max(
+    0,
+    resource.waitingWork + resource.runningWork + arriving * bringUpMs - workDone,
+  );
+  const flow = arriving + backlog / Math.max(MINIMUM_DRAIN_MS, slackMs);
+  return persistent + Math.max(running, flow / PACKING);
+}
+
+/**
+ * Computes the part of the height of a pool's load for which room must stand before the load rises:
+ * for the work that cannot wait until VMs have come.
+ */
+export function computeStandingShare({ bringUpMs, slackMs }: PoolTimes): number {
+  return bringUpMs > 0 ? Math.max(0, 1 - slackMs / bringUpMs) : 0;
+}
