fix(ingress,node): a node finds out by itself that the store serves it again

Cause: the open circuit breaker was closed only by a submission's write, and `/api/ready` follows it. Ruled out: readiness by feeds that are served again, since a store that serves reads and refuses writes would have the node ready and answering 503; probes of the intake's own parts, since a slow store performs about four transactions a second in each and all nodes' probes would queue before submissions; a probe that writes, since a lost one may be performed seconds later. Change: while it is open the breaker (now a module) sends a transaction every 0.5 s whose condition never holds, in parts of this node alone, without waiting for the one before. 412 closes it; 503, 429 and silence do not. Callers' writes are refused at once meanwhile and are no probes any more. The period doubles up to 4 s each time that probes succeeded and no write after them did. Failures of calls from before the one that closed it, and successes from before the last failure, count no more. Probes have a store client of their own: lost ones would lengthen the timeouts of submissions. A node that has restarted or has no configuration is judged as before.

--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -24,8 +24,9 @@
 import { IntakeWriter, WriteOutcome } from './intake-writer.ts';
 import type { RouteMatch, RouteTable } from './route-table.ts';
 import { LookupFault, OPEN, StateReader, type OwnerPort } from './state-reader.ts';
+import type { StoreProbe } from './store-probe.ts';
 
-/** Value of `retry-after` in seconds; during an outage the retries probe the store at this rate. */
+/** Value of `retry-after` in seconds: by then another node or a probe of this one has served. */
 const RETRY_AFTER_S = 1;
 /** Milliseconds a caller is assumed to wait if it sends no valid deadline header. */
 const DEFAULT_TIMEOUT_MS = 3_000;
@@ -55,6 +56,8 @@
 /** Options of the ingress handler. */
 export interface IngressOptions {
   readonly store: Store;
+  /** Finds out whether the store serves this node again. */
+  readonly probe: StoreProbe;
   readonly logger: Logger;
   readonly owner: OwnerPort;
   readonly observer: RequestObserver;
@@ -92,7 +95,7 @@
 
   constructor(options: IngressOptions) {
     this.#options = options;
-    this.#writer = new IntakeWriter(options.store, options.logger);
+    this.#writer = new IntakeWriter(options.store, options.probe, options.logger);
     this.#stateReader = new StateReader(options.owner, options.store);
     this.#gate = new AdmissionGate(options.evidence);
   }
@@ -102,7 +105,7 @@
     return this.#inFlight;
   }
 
-  /** Whether submissions can be stored, judged by the outcome of the last writes. */
+  /** Whether submissions can be stored, judged by the outcome of the last writes and probes. */
   get isStoreReachable(): boolean {
     return !this.#writer.isCircuitOpen;
   }
@@ -112,6 +115,11 @@
     this.#isStopping = true;
   }
 
+  /** Ends the probes of the store. */
+  close(): void {
+    this.#writer.close();
+  }
+
   /** Handles one request and sends its response. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const receivedAt = performance.now();
--- a/packages/ingress/src/intake-writer.ts
+++ b/packages/ingress/src/intake-writer.ts
@@ -8,6 +8,8 @@
 } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { CircuitBreaker } from './circuit-breaker.ts';
+import type { StoreProbe } from './store-probe.ts';
 
 /** Each row takes two conditions and a put; the store accepts at most 100 entries per transaction. */
 const ROWS_PER_TRANSACTION = 30;
@@ -24,10 +26,6 @@
 const RETRY_DELAY_MS = 100;
 /** Attempts at a write that may have been applied; then the caller should retry elsewhere. */
 const MAXIMUM_ATTEMPTS = 2;
-/** Consecutive refusals that open the circuit breaker; a single lost response opens it as well. */
-const FAILURES_TO_OPEN = 2;
-/** Milliseconds for which the open circuit breaker refuses writes before one is sent as a probe. */
-const OPEN_MS = 500;
 
 /**
  * Milliseconds by which a refusal must have been seen before the request that replaces it arrived. A
@@ -77,22 +75,20 @@
  */
 export class IntakeWriter {
   readonly #store: Store;
-  readonly #logger: Logger;
+  readonly #breaker: CircuitBreaker;
   #pending: PendingWrite[] = [];
   /** Number of transactions in flight by part. */
   readonly #inFlight = new Map<string, number>();
   #isSendScheduled = false;
-  #failures = 0;
-  #openUntil = 0;
 
-  constructor(store: Store, logger: Logger) {
+  constructor(store: Store, probe: StoreProbe, logger: Logger) {
     this.#store = store;
-    this.#logger = logger;
+    this.#breaker = new CircuitBreaker(probe, logger);
   }
 
   /** Whether the circuit breaker is open because the last calls to the store failed. */
   get isCircuitOpen(): boolean {
-    return this.#failures >= FAILURES_TO_OPEN;
+    return this.#breaker.isOpen;
   }
 
   /** Finds the highest version of the store that this node had seen well before a time. */
@@ -102,7 +98,7 @@
 
   /** Writes a row; resolves when the outcome is known or the deadline has passed. */
   async write(write: IntakeWrite): Promise<WriteOutcome> {
-    if (this.isCircuitOpen && !this.#startProbe()) return WriteOutcome.Refused;
+    if (this.isCircuitOpen) return WriteOutcome.Refused;
     return new Promise((resolve) => {
       // The caller gets a response by its deadline even if the store does not respond.
       const timer = setTimeout(() => {
@@ -119,12 +115,9 @@
     });
   }
 
-  /** Whether a write may be sent as a probe; allows one each time the open period has elapsed. */
-  #startProbe(): boolean {
-    const now = performance.now();
-    if (now < this.#openUntil) return false;
-    this.#openUntil = now + OPEN_MS;
-    return true;
+  /** Ends the probes of the circuit breaker; writes in flight are not cut off. */
+  close(): void {
+    this.#breaker.stop();
   }
 
   #expire(write: PendingWrite): void {
@@ -173,26 +166,31 @@
 
   async #commit(batch: readonly PendingWrite[]): Promise<void> {
     for (const write of batch) write.attempts += 1;
+    const sentAt = performance.now();
     const result = await this.#store.commit({
       conditions: batch.flatMap(({ conditions }) => conditions),
       puts: batch.map(({ row }) => row),
       removals: [],
     });
     if (result.isOk()) {
-      this.#recordSuccess();
+      this.#breaker.recordSuccess(sentAt);
       for (const write of batch) write.resolve(WriteOutcome.Written);
       return;
     }
-    await this.#handleFault(result.error, batch);
+    await this.#handleFault(result.error, batch, sentAt);
   }
 
-  async #handleFault(fault: StoreFault, batch: readonly PendingWrite[]): Promise<void> {
+  async #handleFault(
+    fault: StoreFault,
+    batch: readonly PendingWrite[],
+    sentAt: number,
+  ): Promise<void> {
     if (fault.kind === StoreFaultKind.Conflict) {
-      this.#recordSuccess();
+      this.#breaker.recordSuccess(sentAt);
       this.#resolveConflict(fault, batch);
       return;
     }
-    this.#recordFailure(fault);
+    this.#breaker.recordFailure(fault, sentAt);
     if (fault.kind === StoreFaultKind.Unknown) {
       for (const write of batch) write.isUncertain = true;
     }
@@ -226,19 +224,6 @@
     }
     this.#pending = [...remaining, ...this.#pending];
   }
-
-  #recordFailure(fault: StoreFault): void {
-    const wasOpen = this.isCircuitOpen;
-    this.#failures += fault.kind === StoreFaultKind.Unknown ? FAILURES_TO_OPEN : 1;
-    this.#openUntil = performance.now() + OPEN_MS;
-    if (wasOpen || this.#failures < FAILURES_TO_OPEN) return;
-    this.#logger.writeWarning('store lost', { reason: fault.message, kind: fault.kind });
-  }
-
-  #recordSuccess(): void {
-    if (this.isCircuitOpen) this.#logger.writeInfo('store regained');
-    this.#failures = 0;
-  }
 }
 
 /** Finds the outcome of a write whose rows exist; undefined if it may be sent again. */
--- a/packages/ingress/test/admission.test.ts
+++ b/packages/ingress/test/admission.test.ts
@@ -11,6 +11,7 @@
   OwnerPort,
   RequestObserver,
   RouteTable,
+  StoreProbe,
 } from '@currantgap/ingress';
 import { decodeSubmission } from '@currantgap/platform-adapter';
 import { MemoryStore, StoreFailure } from '@currantgap/standins';
@@ -78,6 +79,7 @@
   constructor(store: MemoryStore) {
     const handler = new IngressHandler({
       store,
+      probe: new StoreProbe(store, 'n'),
       logger: new Logger(),
       owner: new UnreachableOwner(),
       observer: this.observer,
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -10,6 +10,7 @@
   OwnerLookupFault,
   OwnerPort,
   RouteTable,
+  StoreProbe,
 } from '@currantgap/ingress';
 import { encodeEndedJob, ENDED_TABLE, getIntakePart } from '@currantgap/execution';
 import { JobState, type Configuration, type Route } from '@currantgap/model';
@@ -83,6 +84,7 @@
   before(async () => {
     const handler = new IngressHandler({
       store,
+      probe: new StoreProbe(store, 'n'),
       logger: new Logger(),
       owner,
       observer: new SilentObserver(),
--- a/packages/ingress/test/intake-writer.test.ts
+++ b/packages/ingress/test/intake-writer.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { getIntakePart } from '@currantgap/execution';
-import { IntakeWriter, WriteOutcome } from '@currantgap/ingress';
-import { MemoryStore, StoreFailure } from '@currantgap/standins';
+import { IntakeWriter, StoreProbe, WriteOutcome } from '@currantgap/ingress';
+import { MemoryStore, StoreFailure, waitUntil } from '@currantgap/standins';
 import type { Transaction } from '@currantgap/store';
 import { Logger, setLogSink } from '@currantgap/telemetry';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -36,7 +36,7 @@
 function createWriter(
   store: MemoryStore,
 ): (key: string, timeoutMs?: number) => Promise<WriteOutcome> {
-  const writer = new IntakeWriter(store, new Logger());
+  const writer = new IntakeWriter(store, new StoreProbe(store, 'n'), new Logger());
   return (key, timeoutMs = LONG_TIMEOUT_MS) =>
     writer.write({
       row: { table: 'intake', part: 'jobs', key, value: key },
@@ -108,7 +108,10 @@
   it('stores all submissions in a slow store while several nodes write concurrently', async () => {
     const store = new MemoryStore();
     store.transactionMs = 270;
-    const writers = Array.from({ length: 6 }, () => new IntakeWriter(store, new Logger()));
+    const writers = Array.from(
+      { length: 6 },
+      () => new IntakeWriter(store, new StoreProbe(store, 'n'), new Logger()),
+    );
     const outcomes: Promise<WriteOutcome>[] = [];
     for (let number = 0; number < 44; number += 1) {
       const id = (number * 0x9e3779b1).toString(16).padStart(16, '0');
@@ -134,4 +137,18 @@
     assert.equal(await write('c'), WriteOutcome.Refused);
     assert.equal(store.commitCount, sent);
   });
+
+  it('has its circuit closed soon after the store serves again, without a submission', async () => {
+    const store = new MemoryStore();
+    store.failure = StoreFailure.Down;
+    const writer = new IntakeWriter(store, new StoreProbe(store, 'n'), new Logger());
+    for (const key of ['a', 'b']) {
+      const row = { table: 'intake', part: 'jobs', key, value: key };
+      await writer.write({ row, absent: [row], deadline: performance.now() + LONG_TIMEOUT_MS });
+    }
+    assert.ok(writer.isCircuitOpen);
+    store.failure = StoreFailure.None;
+    await waitUntil(() => !writer.isCircuitOpen);
+    assert.equal(store.version, 0, 'nothing was written');
+  });
 });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -1,7 +1,7 @@
 import { EvidenceHolder } from '@currantgap/admission';
 import { NORMAL_LEASE_MS, Owner } from '@currantgap/execution';
 import { acceptForwarder, Forwarder, ForwarderPool } from '@currantgap/forwarding';
-import { IngressHandler } from '@currantgap/ingress';
+import { IngressHandler, StoreProbe } from '@currantgap/ingress';
 import { describeError, Feature } from '@currantgap/model';
 import {
   computeTakeOverDelay,
@@ -165,6 +165,7 @@
   /** Closes all listeners and connections at once, without waiting for calls in flight. */
   close(): void {
     this.#operatorFeed.stop();
+    this.#ingress.close();
     this.#settings.stop();
     for (const server of this.#servers) {
       server.close();
@@ -306,8 +307,11 @@
       local: this.#ownership.term === undefined ? undefined : this.#owner,
       address: this.#ownership.lease?.address,
     }));
+    // A client of its own, so that unanswered probes do not lengthen the timeouts of other calls.
+    const probeStore = new HttpStore(() => this.#settings.current.storeAddress, this.#httpClient);
     return new IngressHandler({
       store: this.#store,
+      probe: new StoreProbe(probeStore, this.#settings.current.node),
       logger: this.#logger,
       owner,
       observer: this.#metrics,
