test(features): nodes are ready again without a submission

Cause: no test crossed the store's refusal, readiness and its return in whole processes. Ruled out: a test of Node in one process; the scenarios have the stand-ins already. Change: one scenario: the store is down, every node refuses and is not ready, the store recovers, every node is ready; nothing is submitted after the recovery. Conclusion: the whole process gets ready by itself; the path through the load balancer is not covered.

--- a/packages/features/platform.feature
+++ b/packages/features/platform.feature
@@ -47,6 +47,13 @@
     Then all submissions complete
     And no task of the refused submission ran
 
+  Scenario: Nodes are ready again without a submission
+    Given a deployment with 2 nodes and 2 targets
+    When the store is down
+    Then every node refuses submissions and is not ready
+    When the store recovers
+    Then every node is ready
+
   Scenario: Responses of the store are lost
     Given a deployment with 2 nodes and 2 targets
     When the responses of the store are lost for 400 ms
--- a/packages/features/steps/platform-steps.ts
+++ b/packages/features/steps/platform-steps.ts
@@ -272,6 +272,23 @@
   assert.ok(Number(response.retryAfter) > 0);
 });
 
+Then('every node refuses submissions and is not ready', async () => {
+  const { deployment } = getState();
+  for (const node of deployment.nodes) {
+    while (await deployment.isReady(node)) {
+      const response = await deployment.submit(node, createSubmissionId(), [1], TASK_SPEC);
+      assert.equal(response.status, 503);
+    }
+  }
+});
+
+Then('every node is ready', async () => {
+  const { deployment } = getState();
+  for (const node of deployment.nodes) {
+    while (!(await deployment.isReady(node))) await sleep(RETRY_DELAY_MS);
+  }
+});
+
 Then('no task of the refused submission ran', () => {
   const { deployment, refusedIds } = getState();
   for (const id of refusedIds) assert.deepEqual(deployment.runHistory.listRuns(id), []);
