--- a/packages/execution/src/build-context.ts
+++ b/packages/execution/src/build-context.ts
@@ -18,6 +18,7 @@
 import type { TargetPort } from './ports.ts';
 import { Reconciliation } from './reconciliation.ts';
 import { MINIMUM_CLOCK_RATE } from './target-record.ts';
+import { SweepDelay } from './sweep-delay.ts';
 import { TargetRoster } from './target-roster.ts';
 
 /** What a term's state is built from. */
@@ -88,6 +89,7 @@
       observe: options.observeDuration,
     }),
     reconciliation,
+    sweepDelay: new SweepDelay(),
     roster: new TargetRoster({ writer, logger, clock, fleet, reconciliation }),
     writer,
     getOperatorView,
--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -15,6 +15,7 @@
 import type { PoolArrivals } from './pool-arrivals.ts';
 import type { TargetPort } from './ports.ts';
 import type { Reconciliation } from './reconciliation.ts';
+import type { SweepDelay } from './sweep-delay.ts';
 import type { TargetRoster } from './target-roster.ts';
 
 /** Limits that the deployment sets; milliseconds unless stated otherwise. */
@@ -58,6 +59,7 @@
   readonly reconciliation: Reconciliation;
   readonly roster: TargetRoster;
   readonly partitionGuard: PartitionGuard;
+  readonly sweepDelay: SweepDelay;
   readonly getOperatorView: () => OperatorView;
   /** Sends a message to the owner's own task. */
   readonly post: (message: OwnerMessage) => void;
--- a/packages/execution/src/job-timing.ts
+++ b/packages/execution/src/job-timing.ts
@@ -22,15 +22,14 @@
 
 /** Computes the times of the occurrence that a step belongs to. */
 export function computeJobTiming(
-  { clock, durations }: OwnerContext,
-  { job, route, arrivedAt }: JobRecord,
+  context: OwnerContext,
+  record: JobRecord,
   step: StepRun,
   wallNow: number,
 ): JobTiming {
-  const estimateTaskMs = (definition: Step): number =>
-    durations.estimateTaskMs(job.stored.route, definition);
-  const criticalPathMs = computeCriticalPathMs(job.stored.submission.steps, estimateTaskMs);
-  const objectiveMs = (route?.stretch ?? 1) * criticalPathMs + (route?.latencyObjectiveMs ?? 0);
+  const { clock, durations } = context;
+  const { job, arrivedAt } = record;
+  const objectiveMs = computeObjectiveMs(context, record);
   const { dueAt } = step.occurrence;
   const elapsedMs = dueAt > 0 ? wallNow - dueAt : clock.now - arrivedAt;
   return {
@@ -41,3 +40,15 @@
     ),
   };
 }
+
+/** Computes for how many milliseconds from a job's arrival its end still counts. */
+export function computeLateLimitMs(context: OwnerContext, record: JobRecord): number {
+  return LATE_LIMIT_FACTOR * computeObjectiveMs(context, record);
+}
+
+function computeObjectiveMs({ durations }: OwnerContext, { job, route }: JobRecord): number {
+  const estimateTaskMs = (definition: Step): number =>
+    durations.estimateTaskMs(job.stored.route, definition);
+  const criticalPathMs = computeCriticalPathMs(job.stored.submission.steps, estimateTaskMs);
+  return (route?.stretch ?? 1) * criticalPathMs + (route?.latencyObjectiveMs ?? 0);
+}
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -114,9 +114,10 @@
    * it. After a few in a row the target counts as slow or silent, which their timeouts show.
    */
   #abandonIfOverdue(target: TargetRecord): void {
-    if (this.#context.bounds.disabledFeatures?.has(Feature.OverdueCalls)) return;
+    const { bounds, clock, sweepDelay } = this.#context;
+    if (bounds.disabledFeatures?.has(Feature.OverdueCalls)) return;
     if (!target.isRenewalInFlight || target.assignmentCount === 0) return;
-    if (this.#context.clock.now < target.renewalDueAt + READ_MARGIN_MS) return;
+    if (clock.now < target.renewalDueAt + READ_MARGIN_MS || sweepDelay.isBusy(clock.now)) return;
     if (target.overdueRenewals >= MAXIMUM_OVERDUE_RENEWALS) return;
     target.overdueRenewals += 1;
     target.isRenewalInFlight = false;
@@ -128,8 +129,10 @@
     });
   }
 
-  #getPollMs(): number {
-    return this.#context.clock.now < this.#waryUntil ? WARY_POLL_MS : LONG_POLL_MS;
+  #getPollMs({ assignmentCount }: TargetRecord): number {
+    const { clock, sweepDelay } = this.#context;
+    const isWary = assignmentCount > 0 && clock.now < this.#waryUntil;
+    return isWary && !sweepDelay.isBusy(clock.now) ? WARY_POLL_MS : LONG_POLL_MS;
   }
 
   #sendIfDue(target: TargetRecord): void {
@@ -153,7 +156,7 @@
         isClockKnown && !partitionGuard.shouldPause()
           ? target.grantLease(leasePolicy.computeLeaseMs(now), now)
           : undefined,
-      waitMs: isClockKnown && !this.#hasUnacknowledgedEnds(target) ? this.#getPollMs() : 0,
+      waitMs: isClockKnown && !this.#hasUnacknowledgedEnds(target) ? this.#getPollMs(target) : 0,
     };
     target.renewalDueAt = now + order.waitMs + this.#responseTimes.limitMs;
     void targetPort.renewLeases(target.address, order).then((report) => {
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -305,6 +305,7 @@
   }
 
   #sweep(): void {
+    this.#context.sweepDelay.recordSweep(this.#context.clock.now, TICK_MS);
     this.#runExpiry.sweep();
     this.#context.roster.sweep();
     this.#leaseRenewer.sendDue();
--- a/packages/execution/src/pool-load.ts
+++ b/packages/execution/src/pool-load.ts
@@ -2,7 +2,7 @@
 import type { Resources } from '@currantgap/model';
 import { getFootprint, ResourceSum } from '@currantgap/scheduling';
 import { getWallNow, type OwnerContext } from './context.ts';
-import { computeJobTiming } from './job-timing.ts';
+import { computeLateLimitMs } from './job-timing.ts';
 
 /** Milliseconds between log entries with the load of each pool. */
 const REPORT_PERIOD_MS = 2_000;
@@ -67,16 +67,17 @@
     const { job, route } = record;
     if (route === undefined) continue;
     const load = getLoad(route.service);
+    let isTooLate: boolean | undefined;
     for (const step of job.listRunnableSteps(wallNow)) {
       const tasks = step.tasks.filter((task) => !task.isDone && !task.isActive).length;
       if (tasks === 0) continue;
       const footprint = getFootprint(step.definition);
       load.waiting.addScaled(footprint, tasks);
       load.waitingTasks += tasks;
-      const { remainingMs, timeToLateLimitMs } = computeJobTiming(context, record, step, wallNow);
       if (step.definition.isPersistent) continue;
       const expectedMs = context.durations.estimateTaskMs(route.name, step.definition);
-      const weight = remainingMs > timeToLateLimitMs ? TOO_LATE_WEIGHT : 1;
+      isTooLate ??= context.clock.now > record.arrivedAt + computeLateLimitMs(context, record);
+      const weight = isTooLate && !job.isScheduled ? TOO_LATE_WEIGHT : 1;
       load.waitingWork.addScaled(footprint, weight * tasks * expectedMs);
     }
   }
--- a/packages/execution/src/start-watch.ts
+++ b/packages/execution/src/start-watch.ts
@@ -35,9 +35,9 @@
 
   /** Doubts the starts that are overdue. */
   sweep(): void {
-    const { bounds, clock } = this.#context;
-    if (bounds.disabledFeatures?.has(Feature.OverdueCalls)) return;
+    const { bounds, clock, sweepDelay } = this.#context;
     const { now } = clock;
+    if (bounds.disabledFeatures?.has(Feature.OverdueCalls) || sweepDelay.isBusy(now)) return;
     const { limitMs } = this.#orders.startTimes;
     let doubts = 0;
     const doubted = new Set<TargetRecord>();
--- a/packages/execution/test/lease-renewer.test.ts
+++ b/packages/execution/test/lease-renewer.test.ts
@@ -63,7 +63,7 @@
     harness.advance(ms);
     renewer.sendDue();
   };
-  return { harness, target, task, receive, listWaits, wait };
+  return { harness, target, targetPort, task, receive, listWaits, wait };
 }
 
 describe('a lease renewal that its target leaves unanswered', () => {
@@ -75,6 +75,18 @@
     assert.deepEqual(listWaits(), [750, 200]);
   });
 
+  it('does not make the renewals of targets without runs shorter', () => {
+    const { harness, targetPort, wait } = createSetup();
+    wait(OVERDUE_MS);
+    harness.addTarget('t2').bornAt = 1;
+    wait(0);
+    const idle = targetPort.leaseRenewals.filter(({ target }) => target === 't2');
+    assert.deepEqual(
+      idle.map(({ waitMs }) => waitMs),
+      [750],
+    );
+  });
+
   it('is overtaken only a few times in a row, so that calls to a silent target do not pile up', () => {
     const { listWaits, wait } = createSetup();
     wait(OVERDUE_MS);
--- a/packages/execution/test/start-watch.test.ts
+++ b/packages/execution/test/start-watch.test.ts
@@ -96,6 +96,16 @@
     assert.equal(task.attempts[0]?.phase, AttemptPhase.Running);
   });
 
+  it('is not doubted by an owner that reads what arrives too late itself', () => {
+    const setup = createSetup(1);
+    const { sweepDelay } = setup.harness.context;
+    sweepDelay.recordSweep(setup.harness.now, 100);
+    setup.harness.advance(300);
+    sweepDelay.recordSweep(setup.harness.now, 100);
+    waitUntilOverdue(setup);
+    assert.deepEqual(setup.asked, []);
+  });
+
   it('is one of few that are doubted at once', () => {
     const setup = createSetup(40);
     waitUntilOverdue(setup);
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -45,6 +45,7 @@
 import { Reconciliation } from '../src/reconciliation.ts';
 import { RosterState } from '../src/roster-state.ts';
 import type { TargetRecord } from '../src/target-record.ts';
+import { SweepDelay } from '../src/sweep-delay.ts';
 import { TargetRoster } from '../src/target-roster.ts';
 
 setLogSink(() => undefined);
@@ -222,6 +223,7 @@
       durations,
       durationRecorder: new DurationRecorder({ clock, fleet, durations, remoteFactor: 2 }),
       reconciliation,
+      sweepDelay: new SweepDelay(),
       roster: new TargetRoster({ writer, logger, clock, fleet, reconciliation }),
       getOperatorView: () => ({
         configuration: this.configuration,
