fix(store,ownership): renewals of a new owner do not wait behind its own reads

The new owner reads 250 submissions over 150 kB a second. The window of pages doubled with each page that arrived in one piece (transfer time about 0), although such a page had waited behind others on the link, so the answers to renewals came after the time limit of 800 ms. The first answer came 3.0 to 3.3 s after the take-over and told of a write 3 s old; the next renewal was sent only 300 ms after it. Contenders wait 2.1 to 3.2 s after the last write.

Ruled out: the owner's event loop (with smaller pages no renewal is late at the same load); a contender that takes over too early (it waited about 3.2 s after the write, computed from the interval of 300 ms, longer than the lease row says); reads that grew since (durations are read after all jobs, the page sizer is unchanged since then).

Change: the window grows only to the rows that arrive within 700 ms at the rate seen while a page was in flight. A renewal that is not fresh any more when its answer comes is followed by the next at once.

--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -288,7 +288,8 @@
   }
 
   async #renew(term: Term): Promise<void> {
-    await sleep(RENEWAL_INTERVAL_MS);
+    // A renewal whose response came late is old already, and contenders count from its write.
+    if (this.isLeaseFresh) await sleep(RENEWAL_INTERVAL_MS);
     if (this.#term !== term) return;
     let result = await this.#sendRenewal(term);
     // Renews at once after a delayed write of an earlier renewal, since the lease keeps running.
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as yieldToTasks, setTimeout as sleep } from 'node:timers/promises';
 import {
   decodeLease,
   FENCE_ROW,
@@ -12,6 +12,7 @@
   type TermReport,
 } from '@currantgap/ownership';
 import { MemoryStore, StoreFailure, waitUntil } from '@currantgap/standins';
+import type { Transaction } from '@currantgap/store';
 import { Logger, setLogSink } from '@currantgap/telemetry';
 
 setLogSink(() => undefined);
@@ -66,6 +67,23 @@
   }
 }
 
+/** A store whose responses to writes wait until they are let through. */
+class HeldStore extends MemoryStore {
+  isHolding = false;
+  readonly #held: (() => void)[] = [];
+
+  override async commit(transaction: Transaction): ReturnType<MemoryStore['commit']> {
+    const result = await super.commit(transaction);
+    if (this.isHolding) await new Promise<void>((resolve) => this.#held.push(resolve));
+    return result;
+  }
+
+  letThrough(): void {
+    this.isHolding = false;
+    for (const resolve of this.#held.splice(0)) resolve();
+  }
+}
+
 /** Writes to the owner's part of the table without pause; returns the number of failed writes. */
 async function writeContinuously(store: MemoryStore, durationMs: number): Promise<number> {
   const row = { table: 'ledger', part: OWNER_PART, key: 'job', value: '' };
@@ -229,6 +247,22 @@
     });
   }
 
+  it('renews at once after a response that came so late that the lease is not fresh any more', async () => {
+    const store = new HeldStore();
+    const owner = new Contender(store, 'a');
+    await waitUntil(() => owner.isOwner);
+    store.isHolding = true;
+    await waitUntil(() => owner.isOwner && !owner.ownership.isLeaseValid);
+    const { renewals } = owner.listener;
+    const { commitCount } = store;
+    store.letThrough();
+    await yieldToTasks();
+    // The late one, and another that was sent and answered before any interval could pass.
+    assert.equal(store.commitCount, commitCount + 1);
+    assert.equal(owner.listener.renewals, renewals + 2);
+    await owner.ownership.release();
+  });
+
   it('gives the owner a whole lease to renew after a store outage', async () => {
     const store = new MemoryStore();
     const owner = new Contender(store, 'a');
--- a/packages/store/src/row-scanner.ts
+++ b/packages/store/src/row-scanner.ts
@@ -89,8 +89,9 @@
   from: string,
 ): Promise<Result<RangePage, StoreFault>> {
   const { rows } = pageSizer;
+  const start = pageSizer.beginPage();
   const page = await store.read({ ...range, from, limit: rows });
-  if (page.isOk()) pageSizer.recordPage(rows, page.value.rows.length, page.value.transferMs);
+  if (page.isOk()) pageSizer.recordPage(rows, page.value.rows.length, page.value.transferMs, start);
   else if (page.error.kind === StoreFaultKind.Unknown) pageSizer.recordTimeout();
   return page;
 }
