--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { after, describe, it } from 'node:test';
 import { setImmediate as yieldToTasks, setTimeout as sleep } from 'node:timers/promises';
 import {
   decodeLease,
@@ -45,6 +45,13 @@
   }
 }
 
+/** Contenders of all tests. A test that fails leaves its own running, which keeps the process alive. */
+const allContenders: Contender[] = [];
+
+after(async () => {
+  await Promise.all(allContenders.map(async ({ ownership }) => ownership.release()));
+});
+
 class Contender {
   readonly listener = new RecordingListener();
   readonly ownership: Ownership;
@@ -59,6 +66,7 @@
       takeOverDelayMs,
       listener: this.listener,
     });
+    allContenders.push(this);
     void this.ownership.run();
   }
 
