--- a/packages/fleet/src/pool-demand.ts
+++ b/packages/fleet/src/pool-demand.ts
@@ -26,6 +26,8 @@
 
 /** Part of a target's capacity that tasks of mixed sizes fill. */
 const PACKING = 0.85;
+/** Part of the slack of the callers for which work may wait in a pool that keeps up. */
+const TOLERATED_WAIT = 0.5;
 /** Shortest time within which a backlog is to be worked off, in milliseconds. */
 const MINIMUM_DRAIN_MS = 2_000;
 
@@ -34,17 +36,16 @@
  * left when VMs ordered now have come.
  *
  * Answers a load that rises within a moment and ends after some seconds. What waits while VMs are on
- * the way does not call for more of them, or the pool takes those that the next pool needs.
+ * the way does not call for more of them, nor does work that can wait and still end in time; or the
+ * pool takes those that the next pool needs.
  */
 export function computeRequiredAmount(resource: PoolResource, times: PoolTimes): number {
   const { persistent, running, arriving, capacity, incoming } = resource;
   const { bringUpMs, slackMs } = times;
   const workDone =
     PACKING * (Math.max(0, capacity - persistent) * bringUpMs + (incoming * bringUpMs) / 2);
-  const backlog = Math.max(
-    0,
-    resource.waitingWork + resource.runningWork + arriving * bringUpMs - workDone,
-  );
+  const workLeft = resource.waitingWork + resource.runningWork + arriving * bringUpMs - workDone;
+  const backlog = Math.max(0, workLeft - arriving * TOLERATED_WAIT * slackMs);
   const flow = arriving + backlog / Math.max(MINIMUM_DRAIN_MS, slackMs);
   return persistent + Math.max(running, flow / PACKING);
 }
