feat(ownership): nodes that are not named as successors pause between renewals

Change: a node that has seen a renewal polls again after 900 ms, and in any case 100 ms before the lease could expire by the store's clock. No pause for the named successors, while none is named, before the owner has settled, after a release, without the store's clock, after a failed call and without a connection to the owner. The owner tells connected nodes of its release; that, the end of the connection and an owner's call without an answer end a pause. Ruled out: slower renewals (the lease would grow); renewals over the forwarders' connections (a node cut off from the owner only could not judge the lease); pauses of the successors; pauses by the node's own take-over time instead of lease expiry (nodes would learn of a new owner later); a shorter margin of the store's clock for late sights (it covers errors of two clock readings). Checks: tests of ownership, node, store, forwarding and ingress 101 of 101; spec ends with 0 (it models no polling; unchanged). Four faults put in on purpose (successors pause, no lead before expiry, pauses after a failure, pauses not ended by news) each fail at least one test.

--- a/packages/forwarding/src/forwarder-pool.ts
+++ b/packages/forwarding/src/forwarder-pool.ts
@@ -23,6 +23,7 @@
   decodeRenewal,
   decodeStartOutcome,
   encodeAnnouncement,
+  encodeRelease,
   type WireResult,
 } from './messages.ts';
 
@@ -106,6 +107,12 @@
     for (const connection of this.#connections.values()) connection.announce(announcement);
   }
 
+  /** Tells all connected nodes that the lease was released, so that they look for the new owner. */
+  announceRelease(): void {
+    const release = encodeRelease();
+    for (const connection of this.#connections.values()) connection.announce(release);
+  }
+
   /** Closes all connections; calls in flight get no answer. */
   close(): void {
     clearInterval(this.#timer);
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -11,6 +11,7 @@
   decodeAnnouncement,
   decodeCall,
   encodeRenewal,
+  isRelease,
   type ForwardedCall,
 } from './messages.ts';
 import { getJobId, SpecCache } from './spec-cache.ts';
@@ -44,6 +45,8 @@
   readonly findOwner: () => OwnerEndpoint | undefined;
   /** Receives the owner's evidence about contention. */
   readonly onEvidence: (evidence: AdmissionEvidence) => void;
+  /** Called when the owner has released its lease, or when the connection to it has ended. */
+  readonly onOwnerLeaving: () => void;
 }
 
 /**
@@ -71,6 +74,11 @@
     }, CHECK_INTERVAL_MS);
   }
 
+  /** Whether there is a connection to the owner of an epoch. */
+  isConnectedTo(epoch: number): boolean {
+    return this.#channel !== undefined && this.#owner?.epoch === epoch;
+  }
+
   /** Closes the connection; calls in flight are not answered. */
   stop(): void {
     clearInterval(this.#timer);
@@ -125,7 +133,7 @@
   }
 
   #open(owner: OwnerEndpoint, socket: Duplex, head: Buffer): void {
-    const { logger } = this.#options;
+    const { logger, onOwnerLeaving } = this.#options;
     this.#owner = owner;
     this.#specs = new SpecCache();
     const channel = new LineChannel({
@@ -133,12 +141,14 @@
       head,
       onValue: (value) => {
         this.#applyAnnouncement(value, owner);
+        if (isRelease(value)) onOwnerLeaving();
         const call = decodeCall(value);
         if (call !== undefined) this.#handleCall(call, channel);
       },
       onClosed: (reason) => {
         if (this.#channel === channel) this.#channel = undefined;
         logger.writeInfo('forwarding ended', { epoch: owner.epoch, reason });
+        onOwnerLeaving();
       },
     });
     this.#channel = channel;
--- a/packages/forwarding/src/messages.ts
+++ b/packages/forwarding/src/messages.ts
@@ -99,6 +99,16 @@
   return decodeEvidence(announcement.admission);
 }
 
+/** Encodes the news that the owner has released its lease; earlier versions ignore it. */
+export function encodeRelease(): object {
+  return { isReleased: true };
+}
+
+/** Whether a value is the news that the owner has released its lease. */
+export function isRelease(value: unknown): boolean {
+  return (value as { isReleased?: unknown } | null)?.isReleased === true;
+}
+
 /** Decodes a result; undefined if it is none, as for a heartbeat. Throws if it is malformed. */
 export function decodeResult(value: unknown): WireResult | undefined {
   const result = value as Partial<WireResult> | null;
--- a/packages/forwarding/test/harness.ts
+++ b/packages/forwarding/test/harness.ts
@@ -89,6 +89,8 @@
     logger: new Logger(),
   });
   readonly evidence: { node: string; evidence: AdmissionEvidence }[] = [];
+  /** Nodes whose owner has released its lease or was lost, once for each time. */
+  readonly leavings: string[] = [];
   readonly ports = new Map<string, RecordingPort>();
   readonly #forwarders = new Map<string, Forwarder>();
   readonly #server: Server = createServer();
@@ -116,12 +118,17 @@
       info: { node, dataCentre, cores: 1, linkMbps: 100 },
       findOwner: () => ({ address: this.#address, epoch }),
       onEvidence: (evidence) => this.evidence.push({ node, evidence }),
+      onOwnerLeaving: () => this.leavings.push(node),
     });
     this.#forwarders.set(node, forwarder);
     forwarder.start();
     return port;
   }
 
+  isConnected(node: string, epoch: number): boolean {
+    return this.#forwarders.get(node)?.isConnectedTo(epoch) ?? false;
+  }
+
   stopForwarder(node: string): void {
     this.#forwarders.get(node)?.stop();
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -155,6 +155,7 @@
     const handOver = this.#owner?.beginHandOver();
     await Promise.race([handOver, sleep(MAXIMUM_FLUSH_MS)]);
     await this.#ownership.release();
+    this.#forwarderPool?.announceRelease();
     await sleep(DEREGISTRATION_MS);
     this.#closeOwner();
     while (this.#ingress.inFlight > 0 && performance.now() < deadline) await sleep(DRAIN_POLL_MS);
@@ -268,7 +269,7 @@
   #createOwnership(settings: NodeSettings): Ownership {
     const { host, port } = settings.peerEndpoint;
     return new Ownership({
-      // The lease feed answers every few hundred milliseconds, so that versions are seen soon.
+      // The lease feed answers about once a second, so that versions are seen soon.
       store: new HttpStore(
         () => this.#settings.current.storeAddress,
         this.#leaseHttpClient,
@@ -279,6 +280,7 @@
       incarnation: this.#incarnation,
       address: `${host}:${port}`,
       takeOverDelayMs: computeTakeOverDelay(settings, Math.random()),
+      isConnectedTo: (epoch) => this.#forwarder.isConnectedTo(epoch),
       listener: this,
     });
   }
@@ -297,15 +299,24 @@
       onEvidence: (evidence) => {
         this.#evidence.accept(evidence, performance.now());
       },
+      onOwnerLeaving: () => {
+        this.#ownership.endPause();
+      },
     });
   }
 
   #createIngress(): IngressHandler {
-    const owner = new OwnerClient(this.#httpClient, () => ({
-      // An owner that is handing over no longer knows what its successor does.
-      local: this.#ownership.term === undefined ? undefined : this.#owner,
-      address: this.#ownership.lease?.address,
-    }));
+    const owner = new OwnerClient(
+      this.#httpClient,
+      () => ({
+        // An owner that is handing over no longer knows what its successor does.
+        local: this.#ownership.term === undefined ? undefined : this.#owner,
+        address: this.#ownership.lease?.address,
+      }),
+      () => {
+        this.#ownership.endPause();
+      },
+    );
     return new IngressHandler({
       store: this.#store,
       logger: this.#logger,
--- a/packages/node/src/peer.ts
+++ b/packages/node/src/peer.ts
@@ -31,11 +31,14 @@
 export class OwnerClient extends OwnerPort {
   readonly #httpClient: HttpClient;
   readonly #locate: () => OwnerLocation;
+  /** Called when the owner did not answer: another node may be the owner. */
+  readonly #onNoAnswer: () => void;
 
-  constructor(httpClient: HttpClient, locate: () => OwnerLocation) {
+  constructor(httpClient: HttpClient, locate: () => OwnerLocation, onNoAnswer: () => void) {
     super();
     this.#httpClient = httpClient;
     this.#locate = locate;
+    this.#onNoAnswer = onNoAnswer;
   }
 
   async findState(id: string): Promise<JobState | OwnerLookupFault> {
@@ -64,7 +67,9 @@
       path,
       timeoutMs: PEER_TIMEOUT_MS,
     });
-    return response.isOk() && response.value.status === 200 ? response.value.body : undefined;
+    if (response.isOk() && response.value.status === 200) return response.value.body;
+    this.#onNoAnswer();
+    return undefined;
   }
 }
 
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -3,7 +3,9 @@
   computeRemainingWait,
   computeSlack,
   computeTakeOverDelay,
+  computeWatchPause,
   LEASE_MS,
+  MAXIMUM_PAUSE_MS,
   type NodeCapacity,
 } from './take-over-timing.ts';
 export * from './rows.ts';
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -1,7 +1,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { StoreFaultKind, type StoreFault } from '@currantgap/store';
 import { Stopwatch } from '@currantgap/tasks';
-import { computeRemainingWait, computeSlack, LEASE_MS } from './take-over-timing.ts';
+import {
+  computeRemainingWait,
+  computeSlack,
+  computeWatchPause,
+  LEASE_MS,
+  type LeaseView,
+} from './take-over-timing.ts';
 import {
   findCurrentVersion,
   putLease,
@@ -11,6 +17,7 @@
 } from './renewal.ts';
 import { decodeLease, encodeLease, FENCE_ROW, LEASE_ROW, type LeaseRow } from './rows.ts';
 import type { OwnershipOptions, Term } from './term.ts';
+import { WatchPause } from './watch-pause.ts';
 
 /** Milliseconds between two renewals. */
 const RENEWAL_INTERVAL_MS = 300;
@@ -55,6 +62,7 @@
   #lastEpoch = 0;
   /** Lease that the last take-over attempt replaces. */
   #replaced: LeaseRow | undefined;
+  readonly #pause = new WatchPause();
 
   constructor(options: OwnershipOptions) {
     this.#options = options;
@@ -88,6 +96,11 @@
     }
   }
 
+  /** Watches the lease again at once: the owner was lost, did not answer or has released it. */
+  endPause(): void {
+    this.#pause.end();
+  }
+
   /** Ends the term on this node, as when another node has taken over; does not write the lease. */
   endTerm(reason: string): void {
     if (this.#term === undefined) return;
@@ -99,6 +112,7 @@
   /** Stops contending. The owner also releases its lease, so that a successor takes over at once. */
   async release(): Promise<void> {
     this.#isStopped = true;
+    this.endPause();
     const term = this.#term;
     if (term === undefined) return;
     const report = this.#options.listener.describeTerm();
@@ -134,6 +148,7 @@
   }
 
   async #watch(): Promise<void> {
+    const version = this.#leaseVersion;
     const hasSucceeded =
       this.#feedVersion === undefined ? await this.#readLease() : await this.#poll();
     if (!hasSucceeded) {
@@ -143,6 +158,12 @@
     if (this.#isStopped || this.#term !== undefined) return;
     if (this.#isOwnTakeOver()) this.#beginTerm(this.#leaseVersion);
     else if (await this.#isTakeOverDue()) await this.#takeOver();
+    else if (this.#leaseVersion !== version) await this.#pauseAfterRenewal();
+  }
+
+  async #pauseAfterRenewal(): Promise<void> {
+    if (this.#isStopped || !this.#options.isConnectedTo(this.#lease?.epoch ?? 0)) return;
+    await this.#pause.waitUntil(performance.now() + computeWatchPause(this.#buildView()));
   }
 
   /**
@@ -229,8 +250,12 @@
 
   /** Computes the milliseconds until this node may take over. */
   #computeRemainingWait(): number {
+    return computeRemainingWait(this.#buildView());
+  }
+
+  #buildView(): LeaseView {
     const { node, takeOverDelayMs, store } = this.#options;
-    return computeRemainingWait({
+    return {
       lease: this.#lease,
       node,
       takeOverDelayMs,
@@ -238,7 +263,7 @@
       // After a failed call, the owner may have been unable to renew too.
       storeNow: this.#hasFailed ? undefined : store.now,
       storeLatencyMs: this.#readLatencyMs,
-    });
+    };
   }
 
   async #takeOver(): Promise<void> {
--- a/packages/ownership/src/take-over-timing.ts
+++ b/packages/ownership/src/take-over-timing.ts
@@ -4,6 +4,16 @@
 export const LEASE_MS = 1_200;
 /** Milliseconds past lease expiry on the store's clock before the lease counts as expired. */
 const EXPIRY_MARGIN_MS = 100;
+/**
+ * Maximum milliseconds for which a node that is not named as a successor does not watch the lease.
+ * Callers' reads of state go to the owner, and a new one should be known within a second.
+ */
+export const MAXIMUM_PAUSE_MS = 900;
+/**
+ * Milliseconds before lease expiry at which every node watches again: its poll reaches the store
+ * before another node can take over, so that it learns of the new owner at once.
+ */
+const WATCH_LEAD_MS = 100;
 /** Milliseconds between the times at which two named successors may take over. */
 const SUCCESSOR_INTERVAL_MS = 150;
 /** Milliseconds for which only named successors may take over. */
@@ -106,6 +116,19 @@
   return Math.min(computeTimeToExpiry(lease, patienceMs, view), waitMs);
 }
 
+/**
+ * Computes the milliseconds for which a contender that has just seen a renewal need not watch the
+ * lease. 0 for those who must act at once when it changes, and if lease expiry by the store's clock
+ * is not known: the wait for it then begins when the renewal is seen.
+ */
+export function computeWatchPause({ lease, node, storeNow }: LeaseView): number {
+  if (lease === undefined || lease.isReleased || !lease.isSettled) return 0;
+  if (lease.successors.length === 0 || lease.successors.includes(node)) return 0;
+  if (storeNow === undefined || lease.expiresAt === undefined) return 0;
+  const waitMs = lease.expiresAt - WATCH_LEAD_MS - storeNow;
+  return Math.max(0, Math.min(MAXIMUM_PAUSE_MS, waitMs));
+}
+
 /** Computes the milliseconds that a contender adds to the slack of the lease row. */
 function computeContenderSlack({ slackMs }: LeaseRow, { storeLatencyMs }: LeaseView): number {
   const requiredMs = Math.min(MAXIMUM_SLACK_MS, CONTENDER_LATENCIES * storeLatencyMs);
--- a/packages/ownership/src/term.ts
+++ b/packages/ownership/src/term.ts
@@ -47,5 +47,10 @@
   readonly address: string;
   /** Milliseconds that this node waits after lease expiry, so that contenders do not collide. */
   readonly takeOverDelayMs: number;
+  /**
+   * Whether this node has a connection to the owner of this epoch, over which it learns of a release
+   * or loss. Only then it may pause between renewals; the connection's end calls `endPause`.
+   */
+  readonly isConnectedTo: (epoch: number) => boolean;
   readonly listener: OwnershipListener;
 }
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -57,6 +57,7 @@
       address: `${node}:1`,
       takeOverDelayMs,
       listener: this.listener,
+      isConnectedTo: () => true,
     });
     void this.ownership.run();
   }
--- a/packages/ownership/test/take-over-timing.test.ts
+++ b/packages/ownership/test/take-over-timing.test.ts
@@ -4,7 +4,9 @@
   computeRemainingWait,
   computeSlack,
   computeTakeOverDelay,
+  computeWatchPause,
   LEASE_MS,
+  MAXIMUM_PAUSE_MS,
   type LeaseRow,
 } from '@currantgap/ownership';
 
@@ -98,3 +100,31 @@
     }
   });
 });
+
+describe('the pause after a renewal', () => {
+  function computePause(changes: Partial<LeaseRow>, storeNow?: number): number {
+    const lease = { ...LEASE, successors: ['c', 'd'], ...changes };
+    const view = { node: 'b', takeOverDelayMs: 50, unchangedMs: 0, storeLatencyMs: 5 };
+    return computeWatchPause({ ...view, lease, storeNow });
+  }
+
+  it('lasts under a second and ends before the lease expires on the store clock', () => {
+    assert.equal(computePause({}, 8_800), MAXIMUM_PAUSE_MS);
+    assert.ok(computePause({}, 0) < 1_000);
+    assert.ok(9_500 + computePause({}, 9_500) < 10_000);
+    assert.equal(computePause({}, 10_000), 0);
+    assert.equal(computePause({}, 11_000), 0);
+  });
+
+  it('is none for a named successor, nor for any node while none is named', () => {
+    assert.equal(computePause({ successors: ['c', 'b'] }, 8_800), 0);
+    assert.equal(computePause({ successors: [] }, 8_800), 0);
+  });
+
+  it('is none after a release, before the owner has settled and without the store clock', () => {
+    assert.equal(computePause({ isReleased: true }, 8_800), 0);
+    assert.equal(computePause({ isSettled: false }, 8_800), 0);
+    assert.equal(computePause({ expiresAt: undefined }, 8_800), 0);
+    assert.equal(computePause({}), 0);
+  });
+});
