--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -1,16 +1,18 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { StoreFaultKind, type StoreFault } from '@currantgap/store';
 import { Stopwatch } from '@currantgap/tasks';
-import { computeRemainingWait, computeSlack, LEASE_MS } from './take-over-timing.ts';
 import {
-  findCurrentVersion,
-  putLease,
-  Renewal,
-  RenewalOutcome,
-  type RenewalResult,
-} from './renewal.ts';
+  computeRemainingWait,
+  computeSlack,
+  computeWatchPause,
+  LEASE_MS,
+  type LeaseView,
+} from './take-over-timing.ts';
+import { Renewal, RenewalOutcome, type RenewalResult } from './renewal.ts';
+import { RELEASE_WRITTEN, writeRelease } from './release.ts';
 import { decodeLease, encodeLease, FENCE_ROW, LEASE_ROW, type LeaseRow } from './rows.ts';
 import type { OwnershipOptions, Term } from './term.ts';
+import { WatchPause } from './watch-pause.ts';
 
 /** Milliseconds between two renewals. */
 const RENEWAL_INTERVAL_MS = 300;
@@ -22,10 +24,6 @@
 const MAXIMUM_POLL_MS = 2_000;
 /** Minimum milliseconds of one poll. */
 const MINIMUM_POLL_MS = 20;
-/** Outcome of a release that was stored. */
-const WRITTEN = 'written';
-/** Attempts at releasing the lease; a renewal in flight may overtake the first one. */
-const RELEASE_ATTEMPTS = 3;
 
 /** Contends for the owner's lease: takes it over after expiry, renews it and releases it. */
 export class Ownership {
@@ -55,6 +53,7 @@
   #lastEpoch = 0;
   /** Lease that the last take-over attempt replaces. */
   #replaced: LeaseRow | undefined;
+  readonly #pause = new WatchPause();
 
   constructor(options: OwnershipOptions) {
     this.#options = options;
@@ -88,6 +87,11 @@
     }
   }
 
+  /** Watches the lease again at once: the owner was lost, did not answer or has released it. */
+  endPause(): void {
+    this.#pause.end();
+  }
+
   /** Ends the term on this node, as when another node has taken over; does not write the lease. */
   endTerm(reason: string): void {
     if (this.#term === undefined) return;
@@ -99,41 +103,23 @@
   /** Stops contending. The owner also releases its lease, so that a successor takes over at once. */
   async release(): Promise<void> {
     this.#isStopped = true;
+    this.endPause();
     const term = this.#term;
     if (term === undefined) return;
-    const report = this.#options.listener.describeTerm();
+    const { listener, logger, store } = this.#options;
+    const report = listener.describeTerm();
     this.endTerm('released');
     const lease = { ...this.#buildLease(term.epoch, report), isReleased: true };
     const sentAt = performance.now();
-    const outcome = await this.#writeRelease(term, encodeLease(lease));
-    if (outcome === WRITTEN) {
-      this.#options.listener.handleRenewed(lease, performance.now() - sentAt);
-    }
-    this.#options.logger.writeInfo('ownership released', {
-      epoch: term.epoch,
-      successors: lease.successors.join(' '),
-      outcome,
-    });
-  }
-
-  /** Writes a released lease; a renewal that was still in flight may change the row before. */
-  async #writeRelease({ fenceVersion }: Term, value: string): Promise<string> {
-    const { store } = this.#options;
-    let outcome = '';
-    for (let attempt = 0; attempt < RELEASE_ATTEMPTS; attempt += 1) {
-      const options = { store, fenceVersion, version: this.#leaseVersion };
-      const result = await putLease(options, value);
-      if (result.isOk()) return WRITTEN;
-      outcome = result.error.message;
-      if (result.error.kind !== StoreFaultKind.Conflict) continue;
-      const version = findCurrentVersion(result.error, fenceVersion);
-      if (version === undefined) return outcome;
-      this.#leaseVersion = version;
-    }
-    return outcome;
+    const options = { store, fenceVersion: term.fenceVersion, version: this.#leaseVersion };
+    const outcome = await writeRelease(options, encodeLease(lease));
+    if (outcome === RELEASE_WRITTEN) listener.handleRenewed(lease, performance.now() - sentAt);
+    const successors = lease.successors.join(' ');
+    logger.writeInfo('ownership released', { epoch: term.epoch, successors, outcome });
   }
 
   async #watch(): Promise<void> {
+    const version = this.#leaseVersion;
     const hasSucceeded =
       this.#feedVersion === undefined ? await this.#readLease() : await this.#poll();
     if (!hasSucceeded) {
@@ -143,6 +129,12 @@
     if (this.#isStopped || this.#term !== undefined) return;
     if (this.#isOwnTakeOver()) this.#beginTerm(this.#leaseVersion);
     else if (await this.#isTakeOverDue()) await this.#takeOver();
+    else if (this.#leaseVersion !== version) await this.#pauseAfterRenewal();
+  }
+
+  async #pauseAfterRenewal(): Promise<void> {
+    if (this.#isStopped || !this.#options.isConnectedTo(this.#lease?.epoch ?? 0)) return;
+    await this.#pause.waitUntil(performance.now() + computeWatchPause(this.#buildView()));
   }
 
   /**
@@ -229,8 +221,12 @@
 
   /** Computes the milliseconds until this node may take over. */
   #computeRemainingWait(): number {
+    return computeRemainingWait(this.#buildView());
+  }
+
+  #buildView(): LeaseView {
     const { node, takeOverDelayMs, store } = this.#options;
-    return computeRemainingWait({
+    return {
       lease: this.#lease,
       node,
       takeOverDelayMs,
@@ -238,7 +234,7 @@
       // After a failed call, the owner may have been unable to renew too.
       storeNow: this.#hasFailed ? undefined : store.now,
       storeLatencyMs: this.#readLatencyMs,
-    });
+    };
   }
 
   async #takeOver(): Promise<void> {
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -65,6 +65,7 @@
       address: `${node}:1`,
       takeOverDelayMs,
       listener: this.listener,
+      isConnectedTo: () => true,
     });
     allContenders.push(this);
     void this.ownership.run();
