--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -2,6 +2,7 @@
   computeRequiredAmount,
   computeStandingShare,
   decidePoolSizes,
+  listNextPools,
   type PoolDemand,
 } from '@currantgap/fleet';
 import { TargetState, VmState, type Resources, type Vm } from '@currantgap/model';
@@ -34,6 +35,8 @@
   /** Whether a job that ends by itself has arrived in this term, so that pools show their demand. */
   #hasSeenDemand = false;
   readonly #surplusSince = new Map<string, number>();
+  /** Time at which each pool was last loaded, on the owner's clock. */
+  readonly #turnsEndedAt = new Map<string, number>();
   /** Capacity of each pool when its VMs were first counted in this term. */
   readonly #initialCapacity = new Map<string, Resources>();
 
@@ -58,8 +61,13 @@
     const members = this.#groupVms();
     const pools = services.filter(({ isSpare }) => !isSpare).map(({ name }) => name);
     const total = [...members.values()].reduce((sum, vms) => sum + vms.length, 0);
+    this.#recordTurns(pools);
+    const next = listNextPools(this.#turnsEndedAt);
     const demands = pools.map((pool) =>
-      this.#buildDemand(pool, loads.get(pool), members.get(pool)),
+      this.#buildDemand(pool, loads.get(pool), {
+        members: members.get(pool),
+        isNext: next.has(pool),
+      }),
     );
     const sizes = decidePoolSizes(demands, total);
     this.#move(pools, sizes, members, spare);
@@ -91,7 +99,7 @@
   #buildDemand(
     service: string,
     load: PoolLoad | undefined,
-    members: readonly MovableVm[] = [],
+    { members = [], isNext }: { members: readonly MovableVm[] | undefined; isNext: boolean },
   ): PoolDemand {
     const { active, arrivals, bounds, clock } = this.#context;
     const hostingVms = members.filter(({ hasPersistent }) => hasPersistent).length;
@@ -122,7 +130,7 @@
       );
       return required / vmCapacity[resource];
     };
-    const standingShare = computeStandingShare(times);
+    const standingShare = isNext ? computeStandingShare(times) : 0;
     const countStandingVms = (resource: 'cpuMillis' | 'memoryMb'): number =>
       (load.persistent[resource] + standingShare * height[resource]) / vmCapacity[resource];
     return {
@@ -133,6 +141,21 @@
     };
   }
 
+  /** Records which pools are loaded now. */
+  #recordTurns(pools: readonly string[]): void {
+    const { arrivals, clock } = this.#context;
+    for (const pool of pools) {
+      const { cpuMillis, memoryMb } = arrivals.computeLoad(pool, clock.now);
+      const initial = this.#initialCapacity.get(pool);
+      const isLoaded =
+        initial !== undefined &&
+        (cpuMillis > MINIMUM_HEIGHT * initial.cpuMillis ||
+          memoryMb > MINIMUM_HEIGHT * initial.memoryMb);
+      const known = this.#turnsEndedAt.get(pool) ?? -Infinity;
+      this.#turnsEndedAt.set(pool, isLoaded ? clock.now : known);
+    }
+  }
+
   /**
    * Computes the load that a pool has at its height: the highest that lasted in this term or, before
    * one was seen, what the pool could hold at the begin of the term.
--- a/packages/fleet/src/pool-demand.ts
+++ b/packages/fleet/src/pool-demand.ts
@@ -50,6 +50,21 @@
   return persistent + Math.max(running, flow / PACKING);
 }
 
+/**
+ * Lists the pools whose load may rise next: the half whose last turn lies longest back. Demand that
+ * turns from pool to pool comes to those last that had it last. `turnsEndedAt` names all pools, with
+ * the time at which each was last loaded; -Infinity if it never was.
+ */
+export function listNextPools(turnsEndedAt: ReadonlyMap<string, number>): ReadonlySet<string> {
+  const times = [...turnsEndedAt.values()];
+  const next = new Set<string>();
+  for (const [pool, endedAt] of turnsEndedAt) {
+    const earlier = times.filter((time) => time < endedAt).length;
+    if (earlier < times.length / 2) next.add(pool);
+  }
+  return next;
+}
+
 /**
  * Computes the part of the height of a pool's load for which room must stand before the load rises:
  * for the work that cannot wait until VMs have come.
--- a/packages/fleet/test/pool-demand.test.ts
+++ b/packages/fleet/test/pool-demand.test.ts
@@ -3,6 +3,7 @@
 import {
   computeRequiredAmount,
   computeStandingShare,
+  listNextPools,
   type PoolResource,
   type PoolTimes,
 } from '@currantgap/fleet';
@@ -73,3 +74,29 @@
     assert.equal(computeStandingShare(PATIENT), 0);
   });
 });
+
+// Load: demand that turns from pool to pool.
+describe('listNextPools', () => {
+  it('names all pools before the first turn', () => {
+    const never = new Map([
+      ['a', -Infinity],
+      ['b', -Infinity],
+      ['c', -Infinity],
+    ]);
+    assert.deepEqual([...listNextPools(never)], ['a', 'b', 'c']);
+  });
+
+  it('names the half whose last turn lies longest back', () => {
+    const turns = new Map([
+      ['a', 9_000],
+      ['b', 13_000],
+      ['c', -Infinity],
+      ['d', 4_000],
+    ]);
+    assert.deepEqual([...listNextPools(turns)], ['c', 'd']);
+  });
+
+  it('names the only pool there is', () => {
+    assert.deepEqual([...listNextPools(new Map([['a', 4_000]]))], ['a']);
+  });
+});
