--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -20,6 +20,10 @@
 /** Part of a pool's size at the begin of a term above which a load that lasted counts as its height. */
 const MINIMUM_HEIGHT = 0.25;
 
+/** Milliseconds between log entries with the size of each pool. */
+const REPORT_PERIOD_MS = 2_000;
+const MILLIS_PER_CORE = 1_000;
+
 /** A VM that the pool sizer counts and may move. */
 interface MovableVm {
   readonly vm: Vm;
@@ -37,6 +41,7 @@
   readonly #surplusSince = new Map<string, number>();
   /** Time at which each pool was last loaded, on the owner's clock. */
   readonly #turnsEndedAt = new Map<string, number>();
+  #reportedAt = -Infinity;
   /** Capacity of each pool when its VMs were first counted in this term. */
   readonly #initialCapacity = new Map<string, Resources>();
 
@@ -70,6 +75,7 @@
       }),
     );
     const sizes = decidePoolSizes(demands, total);
+    this.#reportSizes(demands, sizes, members, next);
     this.#move(pools, sizes, members, spare);
   }
 
@@ -141,6 +147,32 @@
     };
   }
 
+  /** Logs the size of each pool and what it was computed from, if a report is due. */
+  #reportSizes(
+    demands: readonly PoolDemand[],
+    sizes: ReadonlyMap<string, number>,
+    members: ReadonlyMap<string, MovableVm[]>,
+    next: ReadonlySet<string>,
+  ): void {
+    const { arrivals, clock, logger } = this.#context;
+    if (clock.now < this.#reportedAt + REPORT_PERIOD_MS) return;
+    this.#reportedAt = clock.now;
+    for (const { service, persistentVms, demandVms, standingVms = 0 } of demands) {
+      const arriving = arrivals.computeLoad(service, clock.now);
+      logger.writeInfo('pool sized', {
+        service,
+        vms: members.get(service)?.length ?? 0,
+        size: sizes.get(service) ?? 0,
+        persistentVms,
+        demandVms: Math.round(demandVms),
+        standingVms: Math.round(standingVms),
+        arrivingCores: Math.round(arriving.cpuMillis / MILLIS_PER_CORE),
+        slackMs: Math.round(arrivals.getSlackMs(service) ?? this.#getLeastSlackMs(service)),
+        isNext: next.has(service),
+      });
+    }
+  }
+
   /** Records which pools are loaded now. */
   #recordTurns(pools: readonly string[]): void {
     const { arrivals, clock } = this.#context;
