--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -20,6 +20,12 @@
 /** Part of a pool's size at the begin of a term above which a load that lasted counts as its height. */
 const MINIMUM_HEIGHT = 0.25;
 
+/**
+ * VMs that start to move to a pool that needs them, and that start to be switched off, in one sweep. Many
+ * orders at once would stall the owner for a second, just when a pool needs VMs because its load rises.
+ */
+const MOVES_PER_SWEEP = 16;
+const RELEASES_PER_SWEEP = 4;
 /** Milliseconds between log entries with the size of each pool. */
 const REPORT_PERIOD_MS = 2_000;
 const MILLIS_PER_CORE = 1_000;
@@ -226,12 +232,12 @@
   ): void {
     const { now } = this.#context.clock;
     const donors: { pool: string; member: MovableVm }[] = [];
-    const receivers: string[] = [];
+    const missing = new Map<string, number>();
     for (const pool of pools) {
       const vms = members.get(pool) ?? [];
       const difference = vms.length - (sizes.get(pool) ?? vms.length);
       const surplus = this.#hasSeenDemand ? difference : Math.min(0, difference);
-      for (let missing = -surplus; missing > 0; missing -= 1) receivers.push(pool);
+      missing.set(pool, Math.max(0, -surplus));
       if (surplus <= 0) this.#surplusSince.delete(pool);
       else if (!this.#surplusSince.has(pool)) this.#surplusSince.set(pool, now);
       const movable = vms.filter((vm) => this.#isMovable(vm)).sort((a, b) => a.tasks - b.tasks);
@@ -239,14 +245,17 @@
     }
     donors.sort((left, right) => left.member.tasks - right.member.tasks);
     const spareVms = (members.get(spare) ?? []).filter((vm) => this.#isMovable(vm));
-    for (const pool of receivers) {
+    for (const pool of listReceivers(missing, MOVES_PER_SWEEP)) {
       const donor = takeDonor(donors, spareVms);
       if (donor === undefined) return;
       this.#vmController.startPlan(donor.vm.name, { kind: 'move', pool });
     }
-    for (const { pool, member } of donors) {
-      const since = this.#surplusSince.get(pool) ?? now;
-      if (member.tasks > 0 || now < since + SURPLUS_MS) continue;
+    if (this.#context.sweepDelay.isBusy(now)) return;
+    const released = donors.filter(
+      ({ pool, member }) =>
+        member.tasks === 0 && now >= (this.#surplusSince.get(pool) ?? now) + SURPLUS_MS,
+    );
+    for (const { member } of released.slice(0, RELEASES_PER_SWEEP)) {
       this.#vmController.startPlan(member.vm.name, { kind: 'move', pool: spare });
     }
   }
@@ -259,6 +268,21 @@
   }
 }
 
+/** Lists the pools that the next VMs go to, in turn; each at most as often as VMs are missing there. */
+function listReceivers(missing: ReadonlyMap<string, number>, maximum: number): string[] {
+  const receivers: string[] = [];
+  const left = new Map(missing);
+  while (receivers.length < maximum) {
+    const short = [...left].filter(([, count]) => count > 0);
+    if (short.length === 0) break;
+    for (const [pool, count] of short) {
+      receivers.push(pool);
+      left.set(pool, count - 1);
+    }
+  }
+  return receivers.slice(0, maximum);
+}
+
 /**
  * Takes an idle VM of another pool, which is paid for already, else a switched-off VM, else a VM
  * that must be drained first.
