--- a/packages/execution/src/job-timing.ts
+++ b/packages/execution/src/job-timing.ts
@@ -41,11 +41,6 @@
   };
 }
 
-/** Computes for how many milliseconds from a job's arrival its end still counts. */
-export function computeLateLimitMs(context: OwnerContext, record: JobRecord): number {
-  return LATE_LIMIT_FACTOR * computeObjectiveMs(context, record);
-}
-
 function computeObjectiveMs({ durations }: OwnerContext, { job, route }: JobRecord): number {
   const estimateTaskMs = (definition: Step): number =>
     durations.estimateTaskMs(job.stored.route, definition);
--- a/packages/execution/src/pool-load.ts
+++ b/packages/execution/src/pool-load.ts
@@ -2,7 +2,6 @@
 import type { Resources } from '@currantgap/model';
 import { getFootprint, ResourceSum } from '@currantgap/scheduling';
 import { getWallNow, type OwnerContext } from './context.ts';
-import { computeLateLimitMs } from './job-timing.ts';
 
 /** Milliseconds between log entries with the load of each pool. */
 const REPORT_PERIOD_MS = 2_000;
@@ -17,14 +16,12 @@
   readonly persistent: ResourceSum;
   readonly waiting: ResourceSum;
   waitingTasks: number;
-  /** Work, resources times milliseconds, of waiting tasks; less of those that are too late to count. */
+  /** Work, resources times milliseconds, of waiting tasks. */
   readonly waitingWork: ResourceSum;
   /** Work, resources times milliseconds, that running tasks have left; half of each on average. */
   readonly runningWork: ResourceSum;
 }
 
-/** Weight of work that is too late to count: it is worked off, but calls for few VMs of its own. */
-const TOO_LATE_WEIGHT = 0.2;
 /** Part of a task's duration that a running task has left on average. */
 const MEAN_REMAINING_PART = 0.5;
 
@@ -67,7 +64,6 @@
     const { job, route } = record;
     if (route === undefined) continue;
     const load = getLoad(route.service);
-    let isTooLate: boolean | undefined;
     for (const step of job.listRunnableSteps(wallNow)) {
       const tasks = step.tasks.filter((task) => !task.isDone && !task.isActive).length;
       if (tasks === 0) continue;
@@ -76,9 +72,7 @@
       load.waitingTasks += tasks;
       if (step.definition.isPersistent) continue;
       const expectedMs = context.durations.estimateTaskMs(route.name, step.definition);
-      isTooLate ??= context.clock.now > record.arrivedAt + computeLateLimitMs(context, record);
-      const weight = isTooLate && !job.isScheduled ? TOO_LATE_WEIGHT : 1;
-      load.waitingWork.addScaled(footprint, weight * tasks * expectedMs);
+      load.waitingWork.addScaled(footprint, tasks * expectedMs);
     }
   }
 }
--- a/packages/fleet/src/pool-demand.ts
+++ b/packages/fleet/src/pool-demand.ts
@@ -27,7 +27,7 @@
 /** Part of a target's capacity that tasks of mixed sizes fill. */
 const PACKING = 0.85;
 /** Part of the slack of the callers for which work may wait in a pool that keeps up. */
-const TOLERATED_WAIT = 0.5;
+const TOLERATED_WAIT = 0.25;
 /** Shortest time within which a backlog is to be worked off, in milliseconds. */
 const MINIMUM_DRAIN_MS = 2_000;
 
