fix(scheduling,execution): a feed that stands still is not the end of a turn

Change: a fall shows in windows of a second and more; arrivals count from when they were accepted, not from when the feed delivered them.

--- a/packages/execution/src/intake.ts
+++ b/packages/execution/src/intake.ts
@@ -65,7 +65,8 @@
       const record = this.#buildRecord(job, isInherited);
       active.set(job.id, record);
       if (!isInherited && record.route !== undefined) {
-        arrivals.record(record.route, job, clock.now);
+        const ageMs = getWallNow() - job.stored.acceptedAt;
+        arrivals.record(record.route, job, clock.now, ageMs);
       }
     }
   }
--- a/packages/execution/src/pool-arrivals.ts
+++ b/packages/execution/src/pool-arrivals.ts
@@ -5,6 +5,8 @@
 
 /** Weight of a new submission in the moving average of the slack of a service's work. */
 const SLACK_SMOOTHING_FACTOR = 0.1;
+/** Longest time in milliseconds from the acceptance of a submission to its arrival that is believed. */
+const MAXIMUM_AGE_MS = 1_000;
 const NO_LOAD: ArrivalLoad = { cpuMillis: 0, memoryMb: 0 };
 
 /** Measures the arrival rate of work for each pool, and how long that work may wait for room. */
@@ -17,8 +19,11 @@
     this.#durations = durations;
   }
 
-  /** Records a submission; persistent and scheduled jobs do not count as arrivals. */
-  record(route: Route, job: Job, now: number): void {
+  /**
+   * Records a submission; persistent and scheduled jobs do not count as arrivals. `ageMs` is the time
+   * since its acceptance: those that a feed delivers together were not accepted together.
+   */
+  record(route: Route, job: Job, now: number, ageMs = 0): void {
     if (job.isPersistent || job.isScheduled) return;
     const { steps } = job.stored.submission;
     // The expected duration leaves out the tail, which needs room as well.
@@ -33,7 +38,8 @@
     }
     const meter = this.#meters.get(route.service) ?? new ArrivalMeter();
     this.#meters.set(route.service, meter);
-    meter.record({ at: now, cpuWork, memoryWork });
+    const at = now - Math.min(MAXIMUM_AGE_MS, Math.max(0, ageMs));
+    meter.record({ at, cpuWork, memoryWork });
     this.#recordSlack(route, computeCriticalPathMs(steps, estimateTaskMs));
   }
 
--- a/packages/scheduling/src/arrivals.ts
+++ b/packages/scheduling/src/arrivals.ts
@@ -1,6 +1,11 @@
 /** Windows in which arrivals are counted, in milliseconds, longest first. */
 const WINDOWS_MS = [2_000, 1_000, 400, 200] as const;
 const LONGEST_WINDOW_MS = WINDOWS_MS[0];
+/**
+ * Shortest window that shows a fall: submissions reach the owner by a feed, which may stand still for
+ * some hundred milliseconds.
+ */
+const FALL_WINDOW_MS = 1_000;
 /** Fewest arrivals in a window that count as a rate; fewer may be chance. */
 const MINIMUM_ARRIVALS = 3;
 /** Standard deviations of a count by which a shorter window must differ from the rate of a longer one. */
@@ -82,7 +87,8 @@
       const expected = arrivalsPerMs * lengthMs;
       const hasRisen =
         count >= MINIMUM_ARRIVALS && count - SIGNIFICANT_RISE * Math.sqrt(count) > expected;
-      const hasFallen = count + SIGNIFICANT_FALL * Math.sqrt(count + 1) < expected;
+      const hasFallen =
+        lengthMs >= FALL_WINDOW_MS && count + SIGNIFICANT_FALL * Math.sqrt(count + 1) < expected;
       if (lengthMs === LONGEST_WINDOW_MS || hasRisen || hasFallen) arrivalsPerMs = count / lengthMs;
     }
     return arrivalsPerMs;
