fix(fleet,scheduling): callers who cannot wait for a VM get room for all that waits at once

The load rises from 2,700 to 6,300 cores within 4 s; the size followed the rate of arrivals, which shows that late, and what waits for a second is too late for callers of 1.3 s of slack. Change: for work with less slack than a VM takes, all that waits counts at once, as before; a rise of 1.25 deviations shows.

--- a/packages/execution/src/pool-sizer.ts
+++ b/packages/execution/src/pool-sizer.ts
@@ -133,6 +133,7 @@
           persistent,
           running: load.used[resource] - persistent,
           arriving: arriving[resource],
+          waiting: load.waiting[resource],
           waitingWork: load.waitingWork[resource],
           runningWork: load.runningWork[resource],
           capacity,
--- a/packages/fleet/src/pool-demand.ts
+++ b/packages/fleet/src/pool-demand.ts
@@ -6,6 +6,8 @@
   readonly running: number;
   /** Will be in use if work goes on arriving at the current rate. */
   readonly arriving: number;
+  /** Requested by the tasks that wait for room. */
+  readonly waiting: number;
   /** Work of tasks that wait for room. */
   readonly waitingWork: number;
   /** Work that the running tasks have left. */
@@ -47,7 +49,9 @@
   const workLeft = resource.waitingWork + resource.runningWork + arriving * bringUpMs - workDone;
   const backlog = Math.max(0, workLeft - arriving * TOLERATED_WAIT * slackMs);
   const flow = arriving + backlog / Math.max(MINIMUM_DRAIN_MS, slackMs);
-  return persistent + Math.max(running, flow / PACKING);
+  // Work that cannot wait until VMs have come needs room for all of it at once.
+  const atOnce = slackMs < bringUpMs ? running + resource.waiting : running;
+  return persistent + Math.max(atOnce, flow / PACKING);
 }
 
 /**
--- a/packages/fleet/test/pool-demand.test.ts
+++ b/packages/fleet/test/pool-demand.test.ts
@@ -12,6 +12,7 @@
   persistent: 0,
   running: 0,
   arriving: 0,
+  waiting: 0,
   waitingWork: 0,
   runningWork: 0,
   capacity: 0,
@@ -47,6 +48,12 @@
       assert.ok(required > 600 && required < 1_000, String(required));
     });
 
+    it('asks for room for all that waits at once if callers cannot wait for VMs', () => {
+      const rising = { ...IDLE, running: 50, arriving: 100, waiting: 900, capacity: 50 };
+      assert.ok(computeRequiredAmount(rising, HURRIED) >= 950);
+      assert.ok(computeRequiredAmount(rising, PATIENT) < 300);
+    });
+
     it('asks for the load alone if its callers can wait until what has piled up is done', () => {
       const rising = { ...IDLE, running: 50, arriving: 400, waitingWork: 80_000, capacity: 50 };
       const required = computeRequiredAmount(rising, { bringUpMs: 2_000, slackMs: 8_000 });
--- a/packages/scheduling/src/arrivals.ts
+++ b/packages/scheduling/src/arrivals.ts
@@ -9,7 +9,7 @@
 /** Fewest arrivals in a window that count as a rate; fewer may be chance. */
 const MINIMUM_ARRIVALS = 3;
 /** Standard deviations of a count by which a shorter window must differ from the rate of a longer one. */
-const SIGNIFICANT_RISE = 2;
+const SIGNIFICANT_RISE = 1.25;
 const SIGNIFICANT_FALL = 3;
 /**
  * Weight of a new submission in the moving average of the work per submission. The first submissions
