--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -20,7 +20,6 @@
 import { isUncertain, RunOrders } from './run-orders.ts';
 import type { OwnerOptions } from './owner-options.ts';
 import { Pacer } from './pacer.ts';
-import { PlanPace } from './plan-pace.ts';
 import { Planner } from './planner.ts';
 import { StartOutcome } from './ports.ts';
 import { Quarantine } from './quarantine.ts';
@@ -38,6 +37,8 @@
 
 /** Milliseconds between periodic sweeps over all targets and jobs. */
 const TICK_MS = 100;
+/** Milliseconds for which events are batched into one planning run. */
+const PLAN_BATCH_MS = 4;
 /** Milliseconds for which leases are extended at a hand-over. */
 const HAND_OVER_MS = 3_000;
 
@@ -54,7 +55,6 @@
   readonly #reportReceiver: ReportReceiver;
   readonly #registry: RegistryReader;
   readonly #planner: Planner;
-  readonly #planPace = new PlanPace();
   readonly #startWatch: StartWatch;
   readonly #runExpiry: RunExpiry;
   readonly #advice: AdviceCache;
@@ -249,7 +249,7 @@
       case 'plan':
         this.#isPlanDue = false;
         this.#startWatch.sweep();
-        if (!this.#isHandingOver) this.#plan();
+        if (!this.#isHandingOver) this.#planner.plan();
         return;
     }
     this.#schedulePlan();
@@ -316,17 +316,11 @@
     this.#reportProcessor.applyCrashes();
   }
 
-  #plan(): void {
-    const startedAt = performance.now();
-    this.#planner.plan();
-    this.#planPace.record(performance.now() - startedAt);
-  }
-
   #schedulePlan(): void {
     if (this.#isPlanDue || !this.#hasLoadedJobs) return;
     this.#isPlanDue = true;
     setTimeout(() => {
       this.#context.post({ kind: 'plan' });
-    }, this.#planPace.batchMs);
+    }, PLAN_BATCH_MS);
   }
 }
