feat(store,ingress,node): what a lost feed and a refused request have to tell

Operators saw 'operator feed lost ... socket hang up' and 'operator feed regained' without how long a call took, on what connection, or how old the configuration was meanwhile; a request refused with 401 or 404 left no line. No decision changes.

--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -7,14 +7,7 @@
   INTAKE_TABLE,
 } from '@currantgap/execution';
 import { encodeStoredJob } from '@currantgap/jobs';
-import {
-  createFault,
-  FaultKind,
-  formatFault,
-  JobState,
-  type Fault,
-  type Submission,
-} from '@currantgap/model';
+import { FaultKind, type Fault, type Submission } from '@currantgap/model';
 import type { Store } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 import type { Result } from 'neverthrow';
@@ -23,16 +16,26 @@
 import { readBody, sendResponse, type JsonResponse } from './exchange.ts';
 import { IntakeWriter, WriteOutcome } from './intake-writer.ts';
 import type { RouteMatch, RouteTable } from './route-table.ts';
+import { RefusalLog } from './refusal-log.ts';
+import {
+  buildFaultResponse,
+  buildNotFound,
+  buildOverloaded,
+  buildRefusal,
+  buildUnavailable,
+  buildWriteResponse,
+} from './responses.ts';
 import { LookupFault, OPEN, StateReader, type OwnerPort } from './state-reader.ts';
 import type { StoreProbe } from './store-probe.ts';
 
-/** Value of `retry-after` in seconds: by then another node or a probe of this one has served. */
-const RETRY_AFTER_S = 1;
 /** Milliseconds a caller is assumed to wait if it sends no valid deadline header. */
 const DEFAULT_TIMEOUT_MS = 3_000;
 /** Milliseconds of the caller's timeout that are reserved for the response to reach it. */
 const RESPONSE_MARGIN_MS = 100;
 
+/** Characters of a host or path that a log line repeats. */
+const MAXIMUM_LOGGED_CHARACTERS = 100;
+
 const SUBMISSION_ID_PATTERN = /^[0-9a-f]{16}$/i;
 
 /** Receives one observation for each request that matched a route and was authenticated. */
@@ -63,6 +66,8 @@
   readonly observer: RequestObserver;
   /** Returns the routes of the current configuration; undefined before the first one is loaded. */
   readonly getRoutes: () => RouteTable | undefined;
+  /** Returns the milliseconds since these routes were last known to be current. */
+  readonly getRoutesAgeMs: () => number;
   /** The owner's evidence about contention. */
   readonly evidence: EvidenceHolder;
   /** Decodes the body of a submission. */
@@ -90,6 +95,7 @@
   readonly #writer: IntakeWriter;
   readonly #stateReader: StateReader;
   readonly #gate: AdmissionGate;
+  readonly #refusalLog: RefusalLog;
   #inFlight = 0;
   #isStopping = false;
 
@@ -98,6 +104,7 @@
     this.#writer = new IntakeWriter(options.store, options.probe, options.logger);
     this.#stateReader = new StateReader(options.owner, options.store);
     this.#gate = new AdmissionGate(options.evidence);
+    this.#refusalLog = new RefusalLog(options.logger);
   }
 
   /** Number of requests in flight. */
@@ -138,6 +145,7 @@
     if (routes === undefined) return buildUnavailable('No configuration is in force here yet.');
     const match = routes.match(request.headers.host ?? '', path);
     if (match === undefined) {
+      this.#reportRefusal(request, routes, 404);
       return buildRefusal(
         404,
         FaultKind.NotFound,
@@ -147,6 +155,7 @@
     }
     const team = routes.findTeam(request.headers.authorization);
     if (team === undefined && !match.route.isPublic) {
+      this.#reportRefusal(request, routes, 401);
       const remedy = 'Send a key that is in force.';
       return buildRefusal(401, FaultKind.Unauthorised, 'The key belongs to no team.', remedy);
     }
@@ -290,6 +299,18 @@
     return Number.isFinite(value) && value > 0 ? value : DEFAULT_TIMEOUT_MS;
   }
 
+  #reportRefusal(request: IncomingMessage, routes: RouteTable, status: number): void {
+    this.#refusalLog.write({
+      request: /[0-9a-f]{16}$/i.exec(request.url ?? '')?.[0] ?? '',
+      method: request.method ?? '',
+      host: (request.headers.host ?? '').slice(0, MAXIMUM_LOGGED_CHARACTERS),
+      path: (request.url ?? '').slice(0, MAXIMUM_LOGGED_CHARACTERS),
+      status,
+      configuration: routes.configuration.version,
+      configurationAgeMs: this.#options.getRoutesAgeMs(),
+    });
+  }
+
   #reportOutcome(operation: string, call: Call, outcome: WriteOutcome): void {
     const { route, team, suffix, receivedAt } = call;
     this.#options.logger.writeInfo(`${operation} ${outcome}`, {
@@ -297,47 +318,8 @@
       route: route.name,
       team,
       configuration: this.#options.getRoutes()?.configuration.version ?? 0,
+      configurationAgeMs: this.#options.getRoutesAgeMs(),
       tookMs: Math.round(performance.now() - receivedAt),
     });
   }
 }
-
-function buildWriteResponse(outcome: WriteOutcome, refusedMessage: string): JsonResponse {
-  if (outcome === WriteOutcome.Refused) return buildUnavailable(refusedMessage);
-  // An attempt through another node may still replace the refusal, so that nothing more is known.
-  const isUnknown = outcome === WriteOutcome.Unknown || outcome === WriteOutcome.Withdrawn;
-  if (!isUnknown) return { status: 200, body: { state: JobState.Pending } };
-  const remedy = 'Send it again with the same id.';
-  return buildRefusal(504, FaultKind.OutcomeUnknown, 'Whether it was stored is not known.', remedy);
-}
-
-function buildUnavailable(message: string): JsonResponse {
-  const remedy = `Come back in ${RETRY_AFTER_S} s.`;
-  return {
-    ...buildRefusal(503, FaultKind.Unavailable, message, remedy),
-    retryAfterS: RETRY_AFTER_S,
-  };
-}
-
-function buildOverloaded(retryAfterS: number): JsonResponse {
-  const message = 'The submission cannot be served in time and will not run.';
-  const remedy = `Send it again in ${retryAfterS} s.`;
-  return { ...buildRefusal(429, FaultKind.Overloaded, message, remedy), retryAfterS };
-}
-
-function buildNotFound(): JsonResponse {
-  return buildRefusal(410, FaultKind.NotFound, 'There is no such submission.', 'Check the id.');
-}
-
-function buildRefusal(
-  status: number,
-  kind: FaultKind,
-  message: string,
-  remedy: string,
-): JsonResponse {
-  return buildFaultResponse(status, createFault(kind, message, remedy));
-}
-
-function buildFaultResponse(status: number, fault: Fault): JsonResponse {
-  return { status, body: { error: formatFault(fault) } };
-}
--- a/packages/ingress/test/admission.test.ts
+++ b/packages/ingress/test/admission.test.ts
@@ -84,6 +84,7 @@
       owner: new UnreachableOwner(),
       observer: this.observer,
       getRoutes: () => new RouteTable(CONFIGURATION),
+      getRoutesAgeMs: () => 0,
       evidence: this.#evidence,
       decodeSubmission,
       deadlineHeader: 'x-deadline-ms',
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -89,6 +89,7 @@
       owner,
       observer: new SilentObserver(),
       getRoutes: () => routes,
+      getRoutesAgeMs: () => 0,
       evidence: new EvidenceHolder(),
       decodeSubmission,
       deadlineHeader: 'x-deadline-ms',
@@ -132,6 +133,19 @@
     assert.equal((await call('POST', `/a/${ID}`, { body: BODY })).status, 401);
   });
 
+  // Guards against refusals of which no log line tells by how old a configuration they were made.
+  it('logs a refused request with the configuration and its age', async () => {
+    const lines: string[] = [];
+    setLogSink((line) => {
+      if (line.includes('request not routed')) lines.push(line);
+    });
+    await call('POST', `/c/${ID}`, { key: 'good' });
+    setLogSink(() => undefined);
+    const { context } = JSON.parse(lines.join('')) as { context: object };
+    const expected = { request: ID, status: 404, configuration: 1, configurationAgeMs: 0 };
+    assert.deepEqual({ ...context, ...expected }, context);
+  });
+
   it('selects the route with the longest prefix and requires no key on a public route', async () => {
     assert.equal((await call('POST', '/a/open/00000000000000bb', { body: BODY })).status, 200);
   });
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -1,6 +1,7 @@
 import type { Owner } from '@currantgap/execution';
 import type { RefusalReason } from '@currantgap/admission';
 import { RequestObserver } from '@currantgap/ingress';
+import type { OperatorFeedConsumer } from './operator-feed-consumer.ts';
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 
 const SECONDS_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
@@ -94,6 +95,26 @@
     });
   }
 
+  /** Registers the gauges of the configuration in force and of how old the knowledge of it is. */
+  registerConfiguration(getFeed: () => OperatorFeedConsumer): void {
+    const version = new Gauge({
+      name: 'currantgap_configuration_version',
+      help: 'Version of the configuration in force; 0 before the first one',
+      registers: [this.registry],
+      collect: () => {
+        version.set(getFeed().routes?.configuration.version ?? 0);
+      },
+    });
+    const age = new Gauge({
+      name: 'currantgap_operator_feed_age_seconds',
+      help: 'Seconds since the store last said what operators have written',
+      registers: [this.registry],
+      collect: () => {
+        age.set(getFeed().heardMs / MILLISECONDS_PER_SECOND);
+      },
+    });
+  }
+
   observeRefusal(route: string, team: string, reason: RefusalReason): void {
     this.refusals.inc({ route, team, reason });
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -105,6 +105,7 @@
     this.#ownership = this.#createOwnership(settings.current);
     this.#forwarder = this.#createForwarder(settings.current);
     this.#ingress = this.#createIngress();
+    this.#metrics.registerConfiguration(() => this.#operatorFeed);
     this.#metrics.registerShares(() => this.#owner?.computeShares() ?? new Map<string, never>());
   }
 
@@ -327,6 +328,7 @@
       owner,
       observer: this.#metrics,
       getRoutes: () => this.#operatorFeed.routes,
+      getRoutesAgeMs: () => this.#operatorFeed.heardMs,
       evidence: this.#evidence,
       decodeSubmission,
       deadlineHeader: DEADLINE_HEADER,
--- a/packages/node/src/operator-feed-consumer.ts
+++ b/packages/node/src/operator-feed-consumer.ts
@@ -37,9 +37,22 @@
       onRows: (rows, isSnapshot) => {
         this.#apply(rows, isSnapshot);
       },
-      onFault: (fault) => {
-        if (fault === undefined) logger.writeInfo('operator feed regained');
-        else logger.writeWarning('operator feed lost', { reason: fault.message });
+      onLost: ({ message, kind }) => {
+        const configuration = this.#routes?.configuration.version ?? 0;
+        const { heardMs } = this;
+        logger.writeWarning('operator feed lost', {
+          reason: message,
+          kind,
+          configuration,
+          heardMs,
+        });
+      },
+      onRegained: ({ lostMs, failedCalls, longestCallMs }) => {
+        logger.writeInfo('operator feed regained', {
+          lostMs: Math.round(lostMs),
+          failedCalls,
+          longestCallMs: Math.round(longestCallMs),
+        });
       },
     });
   }
@@ -49,6 +62,14 @@
     return this.#routes;
   }
 
+  /**
+   * Milliseconds since the store last said what operators have written; 0 before the first snapshot.
+   */
+  get heardMs(): number {
+    const { heardAt } = this.#consumer;
+    return heardAt === undefined ? 0 : Math.round(performance.now() - heardAt);
+  }
+
   /** Current state of everything that operators have written. */
   get view(): OperatorView {
     return {
--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -12,6 +12,16 @@
 /** Longest delay in milliseconds before a failed call is retried; half of it is jitter. */
 const RETRY_DELAY_MS = 200;
 
+/** A time in which all calls of a feed failed. */
+export interface FeedOutage {
+  /** Milliseconds from the first failed call's end to the first call that succeeded. */
+  readonly lostMs: number;
+  /** Calls that failed. */
+  readonly failedCalls: number;
+  /** Milliseconds that the longest of the failed calls took. */
+  readonly longestCallMs: number;
+}
+
 /** Options of a feed consumer. */
 export interface FeedConsumerOptions {
   readonly store: Store;
@@ -26,8 +36,10 @@
    * changed rows in between.
    */
   readonly onRows: (rows: readonly Row[], isSnapshot: boolean) => void;
-  /** Called with the fault when calls begin to fail, and with undefined when they succeed again. */
-  readonly onFault?: (fault: StoreFault | undefined) => void;
+  /** Called when calls begin to fail. */
+  readonly onLost?: (fault: StoreFault) => void;
+  /** Called when a call succeeds after others failed. */
+  readonly onRegained?: (outage: FeedOutage) => void;
 }
 
 /**
@@ -39,12 +51,23 @@
   /** Version up to which changes were consumed; undefined when a snapshot is due. */
   #version: number | undefined;
   #isStopped = false;
-  #isFailing = false;
+  #outage: { readonly lostAt: number; failedCalls: number; longestCallMs: number } | undefined;
+  /** Monotonic time at which the call in flight was sent, in milliseconds. */
+  #sentAt = 0;
+  #heardAt: number | undefined;
 
   constructor(options: FeedConsumerOptions) {
     this.#options = options;
   }
 
+  /**
+   * Monotonic time in milliseconds at which the store last said what is current; undefined before the
+   * first snapshot.
+   */
+  get heardAt(): number | undefined {
+    return this.#heardAt;
+  }
+
   /** Consumes the feed until `stop` is called. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
@@ -62,6 +85,7 @@
   }
 
   async #readSnapshot(): Promise<boolean> {
+    this.#sentAt = performance.now();
     const { store, table, parts, pageSizer } = this.#options;
     const snapshot = await scanRows({
       store,
@@ -76,12 +100,14 @@
     if (snapshot === undefined) return true;
     this.#recordSuccess();
     this.#version = snapshot.version;
+    this.#heardAt = performance.now();
     this.#options.onRows(snapshot.rows, true);
     return true;
   }
 
   async #poll(): Promise<boolean> {
     const { store, table, parts } = this.#options;
+    this.#sentAt = performance.now();
     const page = await store.poll({ table, after: this.#version ?? 0, waitMs: POLL_WAIT_MS });
     if (this.#isStopped) return true;
     if (page.isErr()) {
@@ -89,6 +115,7 @@
       return this.#recordFailure(page.error);
     }
     this.#recordSuccess();
+    this.#heardAt = performance.now();
     this.#version = Math.max(this.#version ?? 0, page.value.version);
     const rows = page.value.rows.filter((row) => parts.includes(row.part));
     if (rows.length > 0) this.#options.onRows(rows, false);
@@ -97,13 +124,23 @@
 
   /** Reports the first of consecutive failures; always returns false. */
   #recordFailure(fault: StoreFault): boolean {
-    if (!this.#isFailing) this.#options.onFault?.(fault);
-    this.#isFailing = true;
+    const now = performance.now();
+    if (this.#outage === undefined) {
+      this.#outage = { lostAt: now, failedCalls: 0, longestCallMs: 0 };
+      this.#options.onLost?.(fault);
+    }
+    const callMs = now - this.#sentAt;
+    this.#outage.failedCalls += 1;
+    this.#outage.longestCallMs = Math.max(this.#outage.longestCallMs, callMs);
     return false;
   }
 
   #recordSuccess(): void {
-    if (this.#isFailing) this.#options.onFault?.(undefined);
-    this.#isFailing = false;
+    const outage = this.#outage;
+    this.#outage = undefined;
+    if (outage === undefined) return;
+    const { failedCalls, longestCallMs, lostAt } = outage;
+    const lostMs = performance.now() - lostAt;
+    this.#options.onRegained?.({ lostMs, failedCalls, longestCallMs });
   }
 }
--- a/packages/store/test/feed-consumer.test.ts
+++ b/packages/store/test/feed-consumer.test.ts
@@ -53,7 +53,7 @@
       pageSizer: new PageSizer(1_000),
       pauseMs: 0,
       onRows: (rows) => seen.push(...rows.map(({ key }) => key)),
-      onFault: (fault) => faults.push(fault !== undefined),
+      onLost: () => faults.push(true),
     });
     void consumer.run();
     await waitUntil(() => seen.includes('a'));
