--- /dev/null
+++ b/packages/node/test/operator-feed-consumer.test.ts
@@ -0,0 +1,100 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { OperatorFeedConsumer } from '../src/operator-feed-consumer.ts';
+import { HttpClient, HttpStore, OPERATOR_TABLE } from '@currantgap/platform-adapter';
+import type { HttpFault, HttpRequestOptions, HttpResponse } from '@currantgap/platform-adapter';
+import { MemoryStore, VirtualTime } from '@currantgap/standins';
+import { PageSizer } from '@currantgap/store';
+import { Logger, setLogSink } from '@currantgap/telemetry';
+import { err, ok, type Result } from 'neverthrow';
+import { setTimeout as sleep } from 'node:timers/promises';
+
+setLogSink(() => undefined);
+
+/**
+ * Milliseconds after the end of a disruption from which a node must handle requests by the
+ * configuration that is acknowledged (`contact_ms` of the deployments).
+ */
+const CONTACT_MS = 3_000;
+const ROW = { table: OPERATOR_TABLE, part: '', key: 'config' };
+
+/** A connection to a store that takes requests and answers none while it is silent. */
+class SilenceableClient extends HttpClient {
+  readonly store = new MemoryStore();
+  isSilent = false;
+
+  constructor() {
+    super(1);
+  }
+
+  override async send(options: HttpRequestOptions): Promise<Result<HttpResponse, HttpFault>> {
+    const deadline = performance.now() + options.timeoutMs;
+    const body = this.isSilent ? undefined : await this.#answer(options);
+    if (body !== undefined && !this.isSilent) return ok({ status: 200, body, transferMs: 0 });
+    await sleep(deadline - performance.now());
+    return err({ message: 'no answer', isUnsent: false });
+  }
+
+  /** Writes a configuration as an operator does. */
+  async configure(version: number): Promise<void> {
+    const value = JSON.stringify({ version, routes: [], services: [], tenants: [] });
+    await this.store.commit({ conditions: [], puts: [{ ...ROW, value }], removals: [] });
+  }
+
+  async #answer({ path }: HttpRequestOptions): Promise<object> {
+    const { pathname, searchParams } = new URL(path, 'http://store');
+    const after = Number(searchParams.get('after'));
+    const waitMs = Number(searchParams.get('wait_ms'));
+    if (pathname === '/api/rows-tx') return { row_version: 0 };
+    const page =
+      pathname === '/api/rows-get'
+        ? await this.store.read({ table: ROW.table, part: ROW.part })
+        : await this.store.poll({ table: ROW.table, after, waitMs });
+    const { rows, version } = page._unsafeUnwrap();
+    return {
+      rows: rows.map((row) => ({
+        ...row,
+        value: Buffer.from(row.value).toString('base64'),
+        row_version: row.version,
+      })),
+      row_version: version,
+    };
+  }
+}
+
+describe('OperatorFeedConsumer', () => {
+  // Guards against CONFIG: nodes served by an old configuration until 3.3 s after a silent store was back.
+  it('has a configuration in force in time after a store that was silent is back', async () => {
+    const time = new VirtualTime();
+    time.start();
+    const latest: string[] = [];
+    for (let silentMs = 200; silentMs <= 6_000; silentMs += 200) {
+      const client = new SilenceableClient();
+      const store = new HttpStore(() => 'store:1', client);
+      const feed = new OperatorFeedConsumer(store, new PageSizer(1_000), new Logger(), () => {
+        // Nothing depends on the change here.
+      });
+      await client.configure(1);
+      void feed.run();
+      await time.run(2_000, () => feed.routes !== undefined);
+      client.isSilent = true;
+      // Writes of the ingress that the store does not answer either.
+      for (let write = 0; write < 8; write += 1) {
+        void store.commit({ conditions: [], puts: [], removals: [] });
+      }
+      await time.run(silentMs);
+      await client.configure(2);
+      client.isSilent = false;
+      const backAt = time.now;
+      await time.run(10_000, () => feed.routes?.configuration.version === 2);
+      if (time.now - backAt > CONTACT_MS) latest.push(`${silentMs}: ${time.now - backAt}`);
+      feed.stop();
+      await time.run(10_000);
+    }
+    assert.deepEqual(
+      latest,
+      [],
+      'milliseconds of silence, and until the configuration is in force',
+    );
+  });
+});
--- a/packages/ownership/test/virtual-fleet.ts
+++ b/packages/ownership/test/virtual-fleet.ts
@@ -13,7 +13,7 @@
 import { Logger } from '@currantgap/telemetry';
 import type { Result } from 'neverthrow';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { VirtualTime } from './virtual-time.ts';
+import type { VirtualTime } from '@currantgap/standins';
 
 /** Milliseconds of one transaction of the store, by which its polls are delayed as well. */
 const TRANSACTION_MS = 10;
--- a/packages/ownership/test/watch-pause.test.ts
+++ b/packages/ownership/test/watch-pause.test.ts
@@ -5,12 +5,12 @@
 import { setLogSink } from '@currantgap/telemetry';
 import { WatchPause } from '../src/watch-pause.ts';
 import { ROUND_TRIP_MS, VirtualFleet, type FleetNode } from './virtual-fleet.ts';
-import { VirtualTime } from './virtual-time.ts';
+import { VirtualTime } from '@currantgap/standins';
 
 setLogSink(() => undefined);
 
 const time = new VirtualTime();
-time.install();
+time.start();
 
 const NODES = 15;
 const SEEDS = Array.from({ length: 12 }, (_, index) => index + 1);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,4 +9,5 @@
 export * from './run-log.ts';
 export * from './memory-store.ts';
 export * from './platform/index.ts';
+export * from './virtual-time.ts';
 export * from './wait.ts';
--- a/packages/ownership/test/virtual-time.ts
+++ b/packages/standins/src/virtual-time.ts
@@ -16,7 +16,7 @@
   readonly #pending = new Map<number, PendingTimer>();
 
   /** Replaces the timers and clocks until the process ends. */
-  install(): void {
+  start(): void {
     const set = (callback: () => void, delayMs = 0): number => this.#add(callback, delayMs);
     const clear = (timer?: number): void => {
       this.#pending.delete(timer ?? 0);
