fix(store): a poll whose response is overdue gets another beside it

Callers saw requests refused with 404 or handled by a configuration that had been replaced: 'handled by version 110 or older; version 139 was acked more than 2000 ms before'. After the store had been silent, all nodes served by an old configuration for 3 to 3.5 s after its return. Cause: a feed noticed a lost poll only by its timeout, the 1.5 s that it may wait and four times the latency of calls; calls without an answer raise that, to 3.9 s in all, longer than the 3 s after which nodes must be in touch again. Why it works: what notices a loss is no longer the timeout, which must stay long for a slow store, but that a response is overdue, 0.5 s after the wait; the first response counts. All change feeds take part: operators, submissions and target registry.

--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { PageSizer } from './page-sizer.ts';
+import { pollOverlapping } from './overlapping-poll.ts';
 import { scanRows } from './row-scanner.ts';
 import { StoreFaultKind, type Row, type Store, type StoreFault } from './store.ts';
 
@@ -108,7 +109,11 @@
   async #poll(): Promise<boolean> {
     const { store, table, parts } = this.#options;
     this.#sentAt = performance.now();
-    const page = await store.poll({ table, after: this.#version ?? 0, waitMs: POLL_WAIT_MS });
+    const page = await pollOverlapping(store, {
+      table,
+      after: this.#version ?? 0,
+      waitMs: POLL_WAIT_MS,
+    });
     if (this.#isStopped) return true;
     if (page.isErr()) {
       if (page.error.kind === StoreFaultKind.HistoryGone) this.#version = undefined;
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,4 +1,5 @@
 export * from './feed-consumer.ts';
+export * from './overlapping-poll.ts';
 export * from './page-sizer.ts';
 export * from './row-scanner.ts';
 export * from './seen-versions.ts';
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -80,6 +80,8 @@
   readonly after: number;
   /** Milliseconds to wait when there is no such change. */
   readonly waitMs: number;
+  /** Abandons the poll. */
+  readonly signal?: AbortSignal;
 }
 
 /** The platform's transactional store: linearizable, with one monotonically increasing version. */
