fix(platform): connections that fell silent are closed together

Callers see a node that cannot store, read or order anything for one timeout after the other when open connections fall silent without a reset while new ones work, which the platform's pages allow: each call takes the next dead connection from the idle ones. Cause: a timeout reset only the connection of its own request. Why it works: a request without an answer closes all idle connections to its address on which nothing has arrived since it was sent, and so does a poll whose response is overdue. Connections that have proved alive since stay.

--- a/packages/store/src/overlapping-poll.ts
+++ b/packages/store/src/overlapping-poll.ts
@@ -25,9 +25,13 @@
       resolve(result);
       abortController.abort();
     };
-    const send = (): void => {
-      timer = setTimeout(send, query.waitMs + OVERDUE_MS);
-      void store.poll({ ...query, signal }).then(finish);
+    const send = (silentSince?: number): void => {
+      const sentAt = performance.now();
+      timer = setTimeout(() => {
+        send(sentAt);
+      }, query.waitMs + OVERDUE_MS);
+      const options = silentSince === undefined ? { signal } : { signal, silentSince };
+      void store.poll({ ...query, ...options }).then(finish);
     };
     send();
   });
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -80,6 +80,10 @@
   readonly after: number;
   /** Milliseconds to wait when there is no such change. */
   readonly waitMs: number;
+  /**
+   * Monotonic time in milliseconds; connections on which nothing has arrived since then are not used.
+   */
+  readonly silentSince?: number;
   /** Abandons the poll. */
   readonly signal?: AbortSignal;
 }
