fix(platform,execution,node): odd rows of another writer name nothing, and the others hold

Reported by operators of systems like ours: nodes that end again and again, or no longer follow the list of targets, after another writer left an odd entry. Registry and operators' feed apply each row by itself, with a log line for each that is odd.

--- a/packages/execution/src/registry-reader.ts
+++ b/packages/execution/src/registry-reader.ts
@@ -1,8 +1,13 @@
 import type { TargetEntry } from '@currantgap/model';
-import type { Row } from '@currantgap/store';
+import { applyRows, type Row } from '@currantgap/store';
 import type { OwnerContext } from './context.ts';
 import type { TargetRecord } from './target-record.ts';
 
+/** Rows of which it is remembered that they cannot be decoded. */
+const MAXIMUM_REPORTED = 1_000;
+/** Characters of such a row that its log line repeats. */
+const MAXIMUM_LOGGED_CHARACTERS = 200;
+
 /** Table of the target registry and the decoder of its entries. */
 export interface Registry {
   readonly table: string;
@@ -14,6 +19,8 @@
 export class RegistryReader {
   readonly #context: OwnerContext;
   readonly #registry: Registry;
+  /** Keys of the rows that cannot be decoded and were reported. */
+  readonly #reported = new Set<string>();
 
   constructor(context: OwnerContext, registry: Registry) {
     this.#context = context;
@@ -23,11 +30,32 @@
   /** Applies rows; in a snapshot, a target without a row is not in the registry. */
   apply(rows: readonly Row[], isSnapshot: boolean): void {
     if (isSnapshot) this.#removeAbsent(rows);
-    for (const row of rows) {
-      const entry = row.isDeleted ? undefined : this.#registry.decode(row.key, row.value);
-      if (entry === undefined) this.#remove(row.key);
-      else this.#register(entry, isSnapshot);
-    }
+    const apply = (row: Row): void => {
+      this.#applyRow(row, isSnapshot);
+    };
+    applyRows(rows, apply, (row, reason) => {
+      this.#remove(row.key);
+      this.#reportOddRow(row, reason);
+    });
+  }
+
+  #applyRow(row: Row, isSnapshot: boolean): void {
+    const entry = row.isDeleted ? undefined : this.#registry.decode(row.key, row.value);
+    if (entry !== undefined) this.#register(entry, isSnapshot);
+    else this.#remove(row.key);
+    if (entry === undefined && !row.isDeleted) this.#reportOddRow(row, 'malformed');
+    else this.#reported.delete(row.key);
+  }
+
+  /** Reports a row that names no target, once until it is valid again. */
+  #reportOddRow({ key, value }: Row, reason: string): void {
+    if (this.#reported.has(key) || this.#reported.size >= MAXIMUM_REPORTED) return;
+    this.#reported.add(key);
+    this.#context.logger.writeWarning('registry row not decodable', {
+      target: key,
+      reason,
+      value: value.slice(0, MAXIMUM_LOGGED_CHARACTERS),
+    });
   }
 
   #removeAbsent(rows: readonly Row[]): void {
--- a/packages/node/src/operator-feed-consumer.ts
+++ b/packages/node/src/operator-feed-consumer.ts
@@ -10,7 +10,7 @@
   OPERATOR_TABLE,
   parseJson,
 } from '@currantgap/platform-adapter';
-import { FeedConsumer, type PageSizer, type Row, type Store } from '@currantgap/store';
+import { applyRows, FeedConsumer, type PageSizer, type Row, type Store } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 
 /** Milliseconds between a response of the feed and the next poll. */
@@ -91,21 +91,31 @@
   #apply(rows: readonly Row[], isSnapshot: boolean): void {
     const evacuated = new Set(isSnapshot ? [] : this.#evacuated);
     if (isSnapshot) this.#waves.clear();
-    for (const row of rows) {
-      const dataCentre = findEvacuatedDataCentre(row.key);
-      if (dataCentre !== undefined) {
-        if (row.isDeleted) evacuated.delete(dataCentre);
-        else evacuated.add(dataCentre);
-        this.#logger.writeInfo('evacuation changed', { dataCentre, isOver: row.isDeleted });
-      } else if (isWaveKey(row.key)) this.#applyWave(row);
-      else if (row.key === CONFIGURATION_KEY) this.#applyConfiguration(row);
-    }
+    const apply = (row: Row): void => {
+      this.#applyRow(row, evacuated);
+    };
+    applyRows(rows, apply, ({ key }, reason) => {
+      this.#logger.writeError('operator row not applied', { key, reason });
+    });
     this.#evacuated = evacuated;
     this.#onChange();
   }
 
+  #applyRow(row: Row, evacuated: Set<string>): void {
+    const dataCentre = findEvacuatedDataCentre(row.key);
+    if (dataCentre !== undefined) {
+      if (row.isDeleted) evacuated.delete(dataCentre);
+      else evacuated.add(dataCentre);
+      this.#logger.writeInfo('evacuation changed', { dataCentre, isOver: row.isDeleted });
+    } else if (isWaveKey(row.key)) this.#applyWave(row);
+    else if (row.key === CONFIGURATION_KEY) this.#applyConfiguration(row);
+  }
+
   #applyWave(row: Row): void {
     const wave = row.isDeleted ? undefined : decodeWave(row.value);
+    if (wave === undefined && !row.isDeleted) {
+      this.#logger.writeError('operator row not applied', { key: row.key, reason: 'malformed' });
+    }
     if (wave === undefined) this.#waves.delete(row.key);
     else this.#waves.set(row.key, wave);
     this.#logger.writeInfo('maintenance wave changed', {
--- a/packages/node/test/operator-feed-consumer.test.ts
+++ b/packages/node/test/operator-feed-consumer.test.ts
@@ -3,7 +3,7 @@
 import { OperatorFeedConsumer } from '../src/operator-feed-consumer.ts';
 import { HttpClient, HttpStore, OPERATOR_TABLE } from '@currantgap/platform-adapter';
 import type { HttpFault, HttpRequestOptions, HttpResponse } from '@currantgap/platform-adapter';
-import { MemoryStore, VirtualTime } from '@currantgap/standins';
+import { MemoryStore, VirtualTime, waitUntil } from '@currantgap/standins';
 import { PageSizer } from '@currantgap/store';
 import { Logger, setLogSink } from '@currantgap/telemetry';
 import { err, ok, type Result } from 'neverthrow';
@@ -63,6 +63,36 @@
 }
 
 describe('OperatorFeedConsumer', () => {
+  // Guards against nodes that no longer follow the operators after a row that cannot be applied.
+  it('goes on past odd rows of another writer', async () => {
+    const client = new SilenceableClient();
+    const lines: string[] = [];
+    setLogSink((line) => {
+      if (line.includes('operator row not applied')) lines.push(line);
+    });
+    const store = new HttpStore(() => 'store:1', client);
+    const feed = new OperatorFeedConsumer(store, new PageSizer(1_000), new Logger(), () => {
+      // Nothing depends on the change here.
+    });
+    const put = async (key: string, value: string) =>
+      client.store.commit({ conditions: [], puts: [{ ...ROW, key, value }], removals: [] });
+    await put('config', '{"version":1e300,"routes":[]}');
+    await put('odd', '['.repeat(20_000));
+    await put('wave/1', '{"wave":1e400,"machines":["m"]}');
+    await put('wave/2', '{"wave":2,"machines":["m"],"duration_s":5,"cap":1}');
+    void feed.run();
+    await waitUntil(() => [...feed.view.waves].length > 0);
+    await client.configure(3);
+    await waitUntil(() => feed.routes?.configuration.version === 3);
+    feed.stop();
+    setLogSink(() => undefined);
+    assert.deepEqual(
+      [...feed.view.waves].map(({ number }) => number),
+      [2],
+    );
+    assert.equal(lines.length, 1);
+  });
+
   // Guards against CONFIG: nodes served by an old configuration until 3.3 s after a silent store was back.
   it('has a configuration in force in time after a store that was silent is back', async () => {
     const time = new VirtualTime();
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -1,3 +1,4 @@
+export * from './apply-rows.ts';
 export * from './feed-consumer.ts';
 export * from './overlapping-poll.ts';
 export * from './page-sizer.ts';
