fix(execution): a run that a new owner adopts holds a lease of an earlier one

The first renewal grants none, since the clock of the target is not known yet, and the second waited 250 ms where the first report listed ends that had to be stored. Change: a report that lists active runs after all leases known here are over shows that they hold an earlier one, which lasts as long as the predecessor announced; the renewal after the first report waits for nothing. 'run lost' names grant, term and report.

--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -61,6 +61,8 @@
    */
   continueAfterReport(target: TargetRecord, changeNumber: number, isFirst: boolean): void {
     this.recordApplied(target, changeNumber);
+    // The runs of earlier terms hold leases that no one else renews.
+    if (isFirst) target.retryAcknowledgementAt = 0;
     this.#sendIfDue(target);
     if (isFirst) this.sendDue();
   }
--- a/packages/execution/src/reconciliation.ts
+++ b/packages/execution/src/reconciliation.ts
@@ -11,6 +11,8 @@
  * recorded it as silent, it delays only the tasks that were assigned to it.
  */
 export class Reconciliation {
+  /** Longest time in milliseconds, on this node's clock, for which a lease of an earlier term lasts. */
+  readonly leaseMs: number;
   readonly #pending = new Map<string, LeasedTarget>();
   readonly #deadline: number;
   /** Monotonic time from which a predecessor that still runs knows that it is deposed. */
@@ -18,6 +20,7 @@
 
   /** `leaseMs` is the longest time for which a lease can last on this node's clock. */
   constructor(leaseMs: number, now: number) {
+    this.leaseMs = leaseMs;
     this.#predecessorDeposedAt = now + DEPOSITION_NOTICE_MS;
     this.#deadline = this.#predecessorDeposedAt + leaseMs;
   }
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -48,6 +48,7 @@
     this.#checkIncarnation(target, report);
     target.recordClock(report.clockMs, now);
     target.reportedAt = now;
+    if (report.running.length > 0) target.recordActiveRuns(reconciliation.leaseMs, now);
     if (reconciliation.recordReport(target.id)) {
       logger.writeInfo('target settled', {
         target: target.id,
@@ -285,10 +286,12 @@
   }
 
   #recordLost(target: TargetRecord, assignment: Assignment, reason: string): void {
-    const { clock, fleet, logger } = this.#context;
+    const { clock, fleet, logger, term } = this.#context;
     const { task, attempt } = assignment;
+    const { now } = clock;
+    const { leaseGrantedAt, leasesExpireAt, reportedAt } = target;
     fleet.unassign(target, assignment);
-    task.endedAt = clock.now;
+    task.endedAt = now;
     logger.writeWarning('run lost', {
       request: task.step.job.id,
       task: task.name,
@@ -296,6 +299,10 @@
       target: target.id,
       phase: attempt.phase,
       reason,
+      epoch: term.epoch,
+      leaseEndedMs: Math.round(now - leasesExpireAt),
+      ...(leaseGrantedAt === undefined ? {} : { grantAgeMs: Math.round(now - leaseGrantedAt) }),
+      ...(reportedAt === undefined ? {} : { reportAgeMs: Math.round(now - reportedAt) }),
     });
   }
 
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -58,6 +58,8 @@
   isCordoned = false;
   /** Time after which all leases granted so far have expired. */
   leasesExpireAt: number;
+  /** Time at which this owner last granted a lease; undefined before the first. */
+  leaseGrantedAt: number | undefined;
   /** Current pace of the target's fillers, percent of full speed. */
   pace = 100;
   paceChangedAt = 0;
@@ -175,9 +177,18 @@
     // Latest expiry, reached if the target's clock has run at its minimum rate since the reading.
     const leaseExpiresAt = this.#clockReadAt + (deadline - this.#clockMs) / MINIMUM_CLOCK_RATE;
     this.leasesExpireAt = Math.max(this.leasesExpireAt, leaseExpiresAt);
+    this.leaseGrantedAt = now;
     return deadline;
   }
 
+  /**
+   * Records that a report lists active runs. If all leases that this owner knows of are over, these
+   * runs hold one of an earlier owner, which lasts `earlierLeaseMs` at most.
+   */
+  recordActiveRuns(earlierLeaseMs: number, now: number): void {
+    if (this.leasesExpireAt <= now) this.leasesExpireAt = now + earlierLeaseMs;
+  }
+
   /** Assigns a run and reserves its resources. */
   assign(task: TaskRun, attempt: Attempt): void {
     this.#assignments.set(getKey(task.name, attempt.run), { task, attempt });
