fix(ownership,execution): a successor learns of the leases before its predecessor's term

Callers would see tasks run twice after two quick changes of the owner while the store is slow: leases of 6 s are announced only by the owner that grants them; the next one wrote 3 s into its row from the take-over on, and the one after it started work of silent targets after 4.1 s. Change: the row of a take-over and the reports of the new term announce the longest lease of the predecessor as long as it may last. Evidence: two unit tests, 3,000 ms announced before, 6,000 ms after. The building of a lease row moves to a module of its own, unchanged.

--- a/packages/execution/src/build-context.ts
+++ b/packages/execution/src/build-context.ts
@@ -79,7 +79,10 @@
     active: new Map<string, JobRecord>(),
     arrivals: new PoolArrivals(durations),
     ledger: new Ledger(writer, onJobEnded),
-    leasePolicy: new LeasePolicy(bounds.leaseMaximumMs),
+    leasePolicy: new LeasePolicy(bounds.leaseMaximumMs, {
+      earlierLeaseMs: predecessorLeaseMs,
+      earlierLeasesEndAt: reconciliation.deadline,
+    }),
     durations,
     durationRecorder: new DurationRecorder({
       clock,
--- a/packages/execution/test/lease-policy.test.ts
+++ b/packages/execution/test/lease-policy.test.ts
@@ -39,6 +39,18 @@
     assert.equal(policy.computeLeaseMs(10_000), NORMAL_LEASE_MS, 'not announced again yet');
   });
 
+  // Guards against TWICE: the second of two quick successors did not know of leases of the first owner.
+  it('are announced as long as those of an earlier owner while these may last', () => {
+    const policy = new LeasePolicy(MAXIMUM_MS, {
+      earlierLeaseMs: 6_000,
+      earlierLeasesEndAt: 7_000,
+    });
+    assert.equal(announce(policy, 0), 6_000);
+    assert.equal(policy.computeLeaseMs(0), NORMAL_LEASE_MS);
+    assert.equal(announce(policy, 6_999), 6_000);
+    assert.equal(announce(policy, 7_000), NORMAL_LEASE_MS);
+  });
+
   it('are never longer than what targets grant', () => {
     const policy = new LeasePolicy(2_000);
     policy.extend(1_000);
--- a/packages/ownership/src/ownership.ts
+++ b/packages/ownership/src/ownership.ts
@@ -3,11 +3,11 @@
 import { Stopwatch } from '@currantgap/tasks';
 import {
   computeRemainingWait,
-  computeSlack,
   computeWatchPause,
   LEASE_MS,
   type LeaseView,
 } from './take-over-timing.ts';
+import { buildLease, addEarlierLeases } from './lease-builder.ts';
 import { Renewal, RenewalOutcome, type RenewalResult } from './renewal.ts';
 import { RELEASE_WRITTEN, writeRelease } from './release.ts';
 import { decodeLease, encodeLease, FENCE_ROW, LEASE_ROW, type LeaseRow } from './rows.ts';
@@ -242,7 +242,7 @@
     this.#replaced = this.#lease;
     this.#unsettledTerms = this.#lease?.isSettled === false ? this.#lease.unsettledTerms + 1 : 0;
     this.#latencyMs = 0;
-    const value = encodeLease(this.#buildLease(epoch));
+    const value = encodeLease(this.#buildFirstLease(epoch));
     const sentWatch = new Stopwatch();
     const result = await this.#options.store.commit({
       conditions: [{ ...LEASE_ROW, version: this.#leaseVersion }],
@@ -270,7 +270,7 @@
     const predecessor = this.#replaced;
     const epoch = (predecessor?.epoch ?? 0) + 1;
     this.#leaseVersion = version;
-    this.#lease = this.#buildLease(epoch);
+    this.#lease = this.#buildFirstLease(epoch);
     this.#feedVersion = undefined;
     this.#lastEpoch = epoch;
     this.#term = { epoch, token: version, fenceVersion: version, predecessor };
@@ -325,24 +325,19 @@
     return result;
   }
 
+  /** Builds the row of a take-over. */
+  #buildFirstLease(epoch: number): LeaseRow {
+    const report = this.#options.listener.describeTerm();
+    return this.#buildLease(epoch, addEarlierLeases(report, this.#replaced));
+  }
+
   #buildLease(epoch: number, report = this.#options.listener.describeTerm()): LeaseRow {
-    const { node, incarnation, address, store } = this.#options;
-    const slackMs = computeSlack({
-      isSettled: report.isSettled,
+    return buildLease({
+      options: this.#options,
+      epoch,
+      report,
       unsettledTerms: this.#unsettledTerms,
       latencyMs: this.#latencyMs,
     });
-    return {
-      ...report,
-      node,
-      incarnation,
-      address,
-      epoch,
-      isReleased: false,
-      logsVmOrders: true,
-      unsettledTerms: this.#unsettledTerms,
-      slackMs,
-      expiresAt: store.now === undefined ? undefined : Math.round(store.now + LEASE_MS + slackMs),
-    };
   }
 }
--- a/packages/ownership/test/ownership.test.ts
+++ b/packages/ownership/test/ownership.test.ts
@@ -8,6 +8,7 @@
   OWNER_PART,
   Ownership,
   OwnershipListener,
+  type LeaseRow,
   type Term,
   type TermReport,
 } from '@currantgap/ownership';
@@ -25,9 +26,19 @@
   renewals = 0;
   isSettled = true;
   successors: string[] = [];
+  targetLeaseMs = 3_000;
+  /** Lease rows as they were when this node took over. */
+  readonly rowsAtTakeOver: (LeaseRow | undefined)[] = [];
+  readonly #store: MemoryStore;
+
+  constructor(store: MemoryStore) {
+    super();
+    this.#store = store;
+  }
 
   handleTaken(term: Term): void {
     this.terms.push(term);
+    this.rowsAtTakeOver.push(decodeLease(this.#store.peek(LEASE_ROW)?.value ?? ''));
   }
 
   handleLost(reason: string): void {
@@ -40,8 +51,8 @@
 
   describeTerm(): TermReport {
     this.reports += 1;
-    const { isSettled, successors } = this;
-    return { isSettled, successors, targetLeaseMs: 3_000 };
+    const { isSettled, successors, targetLeaseMs } = this;
+    return { isSettled, successors, targetLeaseMs };
   }
 }
 
@@ -53,10 +64,11 @@
 });
 
 class Contender {
-  readonly listener = new RecordingListener();
+  readonly listener: RecordingListener;
   readonly ownership: Ownership;
 
   constructor(store: MemoryStore, node: string, takeOverDelayMs = 0) {
+    this.listener = new RecordingListener(store);
     this.ownership = new Ownership({
       store,
       logger: new Logger(),
@@ -133,6 +145,19 @@
     await second.ownership.release();
   });
 
+  // Guards against TWICE: a successor that dies before its first renewal hid the leases before it.
+  it('announces the longest lease of its predecessor from the take-over on', async () => {
+    const store = new MemoryStore();
+    const first = new Contender(store, 'a');
+    await waitUntil(() => first.isOwner);
+    first.listener.targetLeaseMs = 6_000;
+    const second = new Contender(store, 'b');
+    await first.ownership.release();
+    await waitUntil(() => second.isOwner);
+    assert.equal(second.listener.rowsAtTakeOver[0]?.targetLeaseMs, 6_000);
+    await second.ownership.release();
+  });
+
   it('releases the lease although a renewal in flight changes the row first', async () => {
     const store = new MemoryStore();
     const owner = new Contender(store, 'a');
