test(features): odd entries of another writer in the target registry end no node

Real processes: four odd entries (port 99999, an id with a line break, nested 30,000 deep, a capacity beyond all numbers), then submissions to every node. On: no submission is answered within the 120 s of the step, the nodes end one after the other.

--- a/packages/features/platform.feature
+++ b/packages/features/platform.feature
@@ -80,6 +80,14 @@
     Then all submissions complete
     And no task ran twice
 
+  # Guards against owners that end one after the other over one odd entry in the target registry.
+  Scenario: Odd entries of another writer in the target registry end no node
+    Given a deployment with 3 nodes and 3 targets
+    When another writer leaves odd entries among those of the targets
+    And 3 submissions are sent to every node
+    Then all submissions complete
+    And all nodes still run
+
   Scenario: A take-over on slow links completes although all open submissions must be read
     Given a deployment with 3 nodes and 6 targets whose links to the store carry 150 kB a second
     When 250 submissions of 1200 bytes are in the store as the owner is killed
--- a/packages/features/steps/platform-steps.ts
+++ b/packages/features/steps/platform-steps.ts
@@ -10,6 +10,7 @@
   type SubmissionResponse,
 } from '@currantgap/standins';
 import { After, Given, Then, When } from '@cucumber/cucumber';
+import { TARGET_TABLE } from '@currantgap/platform-adapter';
 import assert from 'node:assert/strict';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { getCommand } from './world.ts';
@@ -227,6 +228,34 @@
   assert.equal((await deployment.cancel(node, id)).status, 200);
 });
 
+When('another writer leaves odd entries among those of the targets', async () => {
+  const { store } = getState().deployment.storeServer;
+  const entry = {
+    service: 'kartes',
+    address: '127.0.0.1:99999',
+    zone: 'riga-a',
+    state: 'ready',
+    capacity: { cpu: 64_000, mem_mb: 65_536 },
+  };
+  const row = { table: TARGET_TABLE, part: '' };
+  const sound = { ...entry, address: '127.0.0.1:1' };
+  const puts = [
+    { ...row, key: 'odd-port', value: JSON.stringify(entry) },
+    { ...row, key: 'odd\nid', value: JSON.stringify(sound) },
+    { ...row, key: 'odd-depth', value: '['.repeat(30_000) },
+    { ...row, key: 'odd-number', value: JSON.stringify(sound).replace('64000', '1e400') },
+  ];
+  assert.ok((await store.commit({ conditions: [], puts, removals: [] })).isOk());
+});
+
+Then('all nodes still run', () => {
+  const { nodes } = getState().deployment;
+  assert.deepEqual(
+    nodes.map(({ isRunning }) => isRunning),
+    nodes.map(() => true),
+  );
+});
+
 When('all nodes are killed and restarted', async () => {
   const { nodes } = getState().deployment;
   await Promise.all(nodes.map((node) => node.kill()));
