feat(store,execution,ingress,node): how old a count of waiting submissions is

A count wrote no line and named no age, so that an owner whose feed of submissions is behind, an owner whose term is over and a wrong idea of what has begun could not be told apart. No decision changes.

- A page of the store says when the store sent it, by the store's own clock and the least delayed of its readings; a feed says up to when it is complete, in order with its rows.
- The owner's count carries that time and the epoch, also between nodes.
The node that was asked logs 'queue counted' with the age, at most 20 times a second.
- The owner logs 'intake feed lost' and 'intake feed regained'; the age is a metric.

--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -9,3 +9,4 @@
 export * from './owner.ts';
 export * from './owner-options.ts';
 export * from './ports.ts';
+export * from './waiting-count.ts';
--- a/packages/execution/src/messages.ts
+++ b/packages/execution/src/messages.ts
@@ -8,6 +8,8 @@
 export type OwnerMessage =
   /** Rows of the intake: a snapshot of all rows, or the changed rows. */
   | { readonly kind: 'intake'; readonly rows: readonly Row[]; readonly isSnapshot: boolean }
+  /** All submissions that were stored up to this monotonic time, in milliseconds, were passed on. */
+  | { readonly kind: 'intake-current'; readonly currentAt: number }
   /** Rows of the target registry: a snapshot of all rows, or the changed rows. */
   | { readonly kind: 'registry'; readonly rows: readonly Row[]; readonly isSnapshot: boolean }
   /** The configuration has changed. */
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -33,6 +33,7 @@
 import { StartWatch } from './start-watch.ts';
 import { TermFeeds } from './term-feeds.ts';
 import { VM_ORDER_TABLE } from './vm-order-log.ts';
+import { countWaitingJobs, type WaitingCount } from './waiting-count.ts';
 import { WAVE_TABLE } from './wave-controller.ts';
 
 /** Milliseconds between periodic sweeps over all targets and jobs. */
@@ -67,6 +68,7 @@
   #ticker: NodeJS.Timeout | undefined;
   #isPlanDue = false;
   #hasLoadedJobs = false;
+  #intakeCurrentAt: number | undefined;
   #isHandingOver = false;
   #isClosed = false;
 
@@ -196,11 +198,20 @@
     return findJobState(this.#context.jobs, id);
   }
 
-  /** Counts a route's jobs that have not started any task; undefined until all jobs are loaded. */
-  countWaiting(route: string): number | undefined {
-    if (!this.#hasLoadedJobs) return undefined;
-    const records = [...this.#context.active.values()];
-    return records.filter(({ job }) => job.stored.route === route && !job.hasStarted).length;
+  /** Counts a route's jobs of which no task has begun; undefined until all jobs are loaded. */
+  countWaiting(route: string): WaitingCount | undefined {
+    const { active, term } = this.#context;
+    const currentAt = this.#intakeCurrentAt;
+    if (currentAt === undefined) return undefined;
+    return { waiting: countWaitingJobs(active.values(), route), currentAt, epoch: term.epoch };
+  }
+
+  /**
+   * Monotonic time in milliseconds up to which all accepted submissions are known; undefined until all
+   * jobs are loaded.
+   */
+  get intakeCurrentAt(): number | undefined {
+    return this.#intakeCurrentAt;
   }
 
   /** Computes the shares that the teams hold and are owed, by service; of contended pools only. */
@@ -214,6 +225,9 @@
       case 'intake':
         this.#applyIntake(message.rows, message.isSnapshot);
         break;
+      case 'intake-current':
+        this.#intakeCurrentAt = message.currentAt;
+        return;
       case 'registry':
         this.#registry.apply(message.rows, message.isSnapshot);
         this.#context.roster.sweep();
--- a/packages/execution/src/term-feeds.ts
+++ b/packages/execution/src/term-feeds.ts
@@ -1,4 +1,10 @@
-import { FeedConsumer, type PageSizer, type Row, type Store } from '@currantgap/store';
+import {
+  FeedConsumer,
+  type FeedConsumerOptions,
+  type PageSizer,
+  type Row,
+  type Store,
+} from '@currantgap/store';
 import type { OwnerContext } from './context.ts';
 import { INTAKE_PARTS, INTAKE_TABLE } from './intake-tables.ts';
 import { readOwnerRows } from './owner-rows.ts';
@@ -83,8 +89,34 @@
           context.post({ kind, rows, isSnapshot });
         });
       },
+      ...(kind === 'intake' ? this.#buildIntakeReports(isReady) : {}),
     });
     this.#consumers.push(consumer);
     void consumer.run();
   }
+
+  /** Builds the callbacks that tell, and log, how current the knowledge of submissions is. */
+  #buildIntakeReports(
+    isReady: Promise<void>,
+  ): Pick<FeedConsumerOptions, 'onCurrent' | 'onLost' | 'onRegained'> {
+    const { post, logger, term } = this.#options.context;
+    return {
+      onCurrent: (currentAt) => {
+        void isReady.then(() => {
+          post({ kind: 'intake-current', currentAt });
+        });
+      },
+      onLost: ({ message, kind }) => {
+        logger.writeWarning('intake feed lost', { reason: message, kind, epoch: term.epoch });
+      },
+      onRegained: ({ lostMs, failedCalls, longestCallMs }) => {
+        logger.writeInfo('intake feed regained', {
+          epoch: term.epoch,
+          lostMs: Math.round(lostMs),
+          failedCalls,
+          longestCallMs: Math.round(longestCallMs),
+        });
+      },
+    };
+  }
 }
--- a/packages/ingress/src/refusal-log.ts
+++ b/packages/ingress/src/bounded-log.ts
@@ -1,12 +1,13 @@
 import type { LogContext, Logger } from '@currantgap/telemetry';
 
-/** Lines per second; callers with a wrong key or path decide how many requests are refused. */
+/** Lines per second; callers decide how many requests there are. */
 const MAXIMUM_LINES_PER_SECOND = 20;
 const WINDOW_MS = 1_000;
 
-/** Logs requests that were refused by the configuration, a limited number per second. */
-export class RefusalLog {
+/** Logs one kind of event that callers cause, a limited number per second. */
+export class BoundedLog {
   readonly #logger: Logger;
+  readonly #message: string;
   readonly #now: () => number;
   /** Monotonic time at which the current window ends, in milliseconds. */
   #windowEndsAt = -Infinity;
@@ -15,8 +16,9 @@
   #omitted = 0;
 
   /** `now` returns the monotonic time in milliseconds. */
-  constructor(logger: Logger, now: () => number = () => performance.now()) {
+  constructor(logger: Logger, message: string, now: () => number = () => performance.now()) {
     this.#logger = logger;
+    this.#message = message;
     this.#now = now;
   }
 
@@ -32,7 +34,7 @@
       return;
     }
     this.#lines += 1;
-    this.#logger.writeInfo('request not routed', { ...context, omitted: this.#omitted });
+    this.#logger.writeInfo(this.#message, { ...context, omitted: this.#omitted });
     this.#omitted = 0;
   }
 }
--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -13,10 +13,11 @@
 import type { Result } from 'neverthrow';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { AdmissionGate } from './admission-gate.ts';
+import { BoundedLog } from './bounded-log.ts';
 import { readBody, sendResponse, type JsonResponse } from './exchange.ts';
 import { IntakeWriter, WriteOutcome } from './intake-writer.ts';
+import { QueueCounter } from './queue-counter.ts';
 import type { RouteMatch, RouteTable } from './route-table.ts';
-import { RefusalLog } from './refusal-log.ts';
 import {
   buildFaultResponse,
   buildNotFound,
@@ -95,7 +96,8 @@
   readonly #writer: IntakeWriter;
   readonly #stateReader: StateReader;
   readonly #gate: AdmissionGate;
-  readonly #refusalLog: RefusalLog;
+  readonly #queueCounter: QueueCounter;
+  readonly #refusalLog: BoundedLog;
   #inFlight = 0;
   #isStopping = false;
 
@@ -104,7 +106,8 @@
     this.#writer = new IntakeWriter(options.store, options.probe, options.logger);
     this.#stateReader = new StateReader(options.owner, options.store);
     this.#gate = new AdmissionGate(options.evidence);
-    this.#refusalLog = new RefusalLog(options.logger);
+    this.#queueCounter = new QueueCounter(options.owner, options.logger);
+    this.#refusalLog = new BoundedLog(options.logger, 'request not routed');
   }
 
   /** Number of requests in flight. */
@@ -176,7 +179,7 @@
 
   async #dispatch(call: Call): Promise<JsonResponse> {
     const { request, suffix } = call;
-    if (suffix === '' && request.method === 'GET') return this.#countWaiting(call);
+    if (suffix === '' && request.method === 'GET') return this.#queueCounter.count(call.route.name);
     if (!SUBMISSION_ID_PATTERN.test(suffix)) {
       const remedy = 'Use 16 hexadecimal digits.';
       return buildRefusal(400, FaultKind.InvalidRequest, 'The path ends in no valid id.', remedy);
@@ -288,12 +291,6 @@
     return buildWriteResponse(outcome, 'The cancel was not stored.');
   }
 
-  async #countWaiting(call: Call): Promise<JsonResponse> {
-    const waiting = await this.#options.owner.countWaiting(call.route.name);
-    if (waiting === undefined) return buildUnavailable('The queue cannot be counted now.');
-    return { status: 200, body: { waiting } };
-  }
-
   #readTimeoutMs(request: IncomingMessage): number {
     const value = Number(request.headers[this.#options.deadlineHeader]);
     return Number.isFinite(value) && value > 0 ? value : DEFAULT_TIMEOUT_MS;
--- a/packages/ingress/src/state-reader.ts
+++ b/packages/ingress/src/state-reader.ts
@@ -6,6 +6,7 @@
   getIntakePart,
   INTAKE_TABLE,
   LEDGER_TABLE,
+  type WaitingCount,
 } from '@currantgap/execution';
 import { readLedgerState } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
@@ -25,7 +26,7 @@
   /** Finds the state of a submission. */
   abstract findState(id: string): Promise<JobState | OwnerLookupFault>;
   /** Counts a route's submissions without a started task; undefined if there is no response. */
-  abstract countWaiting(route: string): Promise<number | undefined>;
+  abstract countWaiting(route: string): Promise<WaitingCount | undefined>;
 }
 
 /** Reason why the state of a submission could not be read. */
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -12,7 +12,12 @@
   RouteTable,
   StoreProbe,
 } from '@currantgap/ingress';
-import { encodeEndedJob, ENDED_TABLE, getIntakePart } from '@currantgap/execution';
+import {
+  encodeEndedJob,
+  ENDED_TABLE,
+  getIntakePart,
+  type WaitingCount,
+} from '@currantgap/execution';
 import { JobState, type Configuration, type Route } from '@currantgap/model';
 import { decodeSubmission } from '@currantgap/platform-adapter';
 import { MemoryStore, StoreFailure } from '@currantgap/standins';
@@ -40,8 +45,10 @@
     return Promise.resolve(this.state);
   }
 
-  async countWaiting(): Promise<number | undefined> {
-    return Promise.resolve(undefined);
+  count: WaitingCount | undefined;
+
+  async countWaiting(): Promise<WaitingCount | undefined> {
+    return Promise.resolve(this.count);
   }
 }
 
--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -76,8 +76,14 @@
     registers: [this.registry],
   });
 
+  /** Registers the gauges that are set on the owner. */
+  registerOwner(getOwner: () => Owner | undefined): void {
+    this.#registerShares(() => getOwner()?.computeShares() ?? new Map<string, never>());
+    this.#registerIntake(() => getOwner()?.intakeCurrentAt);
+  }
+
   /** Registers the gauges of what teams hold and are owed of the contended pools. */
-  registerShares(computeShares: Owner['computeShares']): void {
+  #registerShares(computeShares: Owner['computeShares']): void {
     const gauge = new Gauge({
       name: 'currantgap_pool_share',
       help: 'Dominant share of a contended pool, held and owed, by service and team; on the owner',
@@ -115,6 +121,20 @@
     });
   }
 
+  /** Registers the gauge of how old the knowledge of accepted submissions is. */
+  #registerIntake(getCurrentAt: () => number | undefined): void {
+    const age = new Gauge({
+      name: 'currantgap_intake_feed_age_seconds',
+      help: 'Seconds since the time up to which the owner knows all accepted submissions',
+      registers: [this.registry],
+      collect: () => {
+        const currentAt = getCurrentAt();
+        if (currentAt === undefined) age.reset();
+        else age.set((performance.now() - currentAt) / MILLISECONDS_PER_SECOND);
+      },
+    });
+  }
+
   observeRefusal(route: string, team: string, reason: RefusalReason): void {
     this.refusals.inc({ route, team, reason });
   }
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -106,7 +106,7 @@
     this.#forwarder = this.#createForwarder(settings.current);
     this.#ingress = this.#createIngress();
     this.#metrics.registerConfiguration(() => this.#operatorFeed);
-    this.#metrics.registerShares(() => this.#owner?.computeShares() ?? new Map<string, never>());
+    this.#metrics.registerOwner(() => this.#owner);
   }
 
   /** Starts all listeners and contends for ownership. Rejects if an address cannot be bound. */
--- a/packages/node/src/operator-feed-consumer.ts
+++ b/packages/node/src/operator-feed-consumer.ts
@@ -63,11 +63,12 @@
   }
 
   /**
-   * Milliseconds since the store last said what operators have written; 0 before the first snapshot.
+   * Milliseconds since the time up to which all that operators wrote is known; 0 before the first
+   * snapshot.
    */
   get heardMs(): number {
-    const { heardAt } = this.#consumer;
-    return heardAt === undefined ? 0 : Math.round(performance.now() - heardAt);
+    const { currentAt } = this.#consumer;
+    return currentAt === undefined ? 0 : Math.round(performance.now() - currentAt);
   }
 
   /** Current state of everything that operators have written. */
--- a/packages/node/src/peer.ts
+++ b/packages/node/src/peer.ts
@@ -1,3 +1,4 @@
+import type { WaitingCount } from '@currantgap/execution';
 import { OwnerLookupFault, OwnerPort, sendResponse } from '@currantgap/ingress';
 import { JobState } from '@currantgap/model';
 import type { HttpClient } from '@currantgap/platform-adapter';
@@ -13,8 +14,16 @@
 export interface OwnerView {
   /** Returns the state of a job; undefined if the owner does not know the job. */
   findState(id: string): JobState | undefined;
-  /** Counts a route's jobs that have not started; undefined until the owner has read all jobs. */
-  countWaiting(route: string): number | undefined;
+  /** Counts a route's jobs of which no task has begun; undefined until the owner has read all jobs. */
+  countWaiting(route: string): WaitingCount | undefined;
+}
+
+/** Answer to a query for a count. */
+interface WireCount {
+  readonly waiting: number;
+  /** Milliseconds since the time up to which all accepted submissions are counted. */
+  readonly ageMs: number;
+  readonly epoch: number;
 }
 
 /** Where the owner can be reached. */
@@ -50,12 +59,16 @@
     return STATES.find((known: string) => known === state) ?? OwnerLookupFault.Unknown;
   }
 
-  async countWaiting(route: string): Promise<number | undefined> {
+  async countWaiting(route: string): Promise<WaitingCount | undefined> {
     const { local } = this.#locate();
     if (local !== undefined) return local.countWaiting(route);
     const path = `${ROUTE_PATH}${encodeURIComponent(route)}`;
-    const answer = (await this.#ask(path)) as { waiting?: number } | undefined;
-    return answer?.waiting;
+    const askedAt = performance.now();
+    const answer = (await this.#ask(path)) as Partial<WireCount> | undefined;
+    // An earlier version of the product names no age.
+    if (answer?.waiting === undefined || answer.ageMs === undefined) return undefined;
+    const { waiting, ageMs, epoch = 0 } = answer;
+    return { waiting, currentAt: askedAt - ageMs, epoch };
   }
 
   async #ask(path: string): Promise<unknown> {
@@ -87,6 +100,8 @@
 function answerPeerCall(path: string, owner: OwnerView): unknown {
   if (path.startsWith(JOB_PATH)) return { state: owner.findState(path.slice(JOB_PATH.length)) };
   if (!path.startsWith(ROUTE_PATH)) return undefined;
-  const waiting = owner.countWaiting(decodeURIComponent(path.slice(ROUTE_PATH.length)));
-  return waiting === undefined ? undefined : { waiting };
+  const count = owner.countWaiting(decodeURIComponent(path.slice(ROUTE_PATH.length)));
+  if (count === undefined) return undefined;
+  const { waiting, currentAt, epoch } = count;
+  return { waiting, ageMs: Math.round(performance.now() - currentAt), epoch } satisfies WireCount;
 }
--- a/packages/node/test/owner-client.test.ts
+++ b/packages/node/test/owner-client.test.ts
@@ -7,7 +7,10 @@
 import { listenOn } from '@currantgap/tasks';
 import { handlePeerCall, OwnerClient, type OwnerView } from '../src/peer.ts';
 
-const VIEW: OwnerView = { findState: () => JobState.Pending, countWaiting: () => 3 };
+const VIEW: OwnerView = {
+  findState: () => JobState.Pending,
+  countWaiting: () => ({ waiting: 3, currentAt: performance.now(), epoch: 1 }),
+};
 
 describe('OwnerClient', () => {
   it('reports an owner that does not answer, since another node may be the owner', async () => {
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -110,7 +110,13 @@
       .filter(({ table, part, key }) => table === query.table && part === query.part && key >= from)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
     const hasMore = rows.length > limit;
-    return ok({ rows: rows.slice(0, limit), hasMore, version: this.#version, transferMs: 0 });
+    return ok({
+      rows: rows.slice(0, limit),
+      hasMore,
+      version: this.#version,
+      currentAt: this.now,
+      transferMs: 0,
+    });
   }
 
   async poll(query: FeedQuery): Promise<Result<FeedPage, StoreFault>> {
@@ -118,7 +124,8 @@
     const page = this.#readFeed(query);
     if (page !== undefined) return page;
     await this.#waitForChange(query.waitMs);
-    return this.#readFeed(query) ?? ok({ rows: [], version: this.#version });
+    const changed = this.#readFeed(query);
+    return changed ?? ok({ rows: [], version: this.#version, currentAt: this.now });
   }
 
   /** Waits for the part's earlier transactions; returns false if its queue is full. */
@@ -146,7 +153,8 @@
     const rows = this.#history.filter(
       ({ table, version }) => table === query.table && version > query.after,
     );
-    return rows.length > 0 ? ok({ rows, version: this.#version }) : undefined;
+    if (rows.length === 0) return undefined;
+    return ok({ rows, version: this.#version, currentAt: this.now });
   }
 
   async #waitForChange(waitMs: number): Promise<void> {
--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -37,6 +37,8 @@
    * changed rows in between.
    */
   readonly onRows: (rows: readonly Row[], isSnapshot: boolean) => void;
+  /** Receives, after the rows, the monotonic time in milliseconds up to which all rows were passed on. */
+  readonly onCurrent?: (currentAt: number) => void;
   /** Called when calls begin to fail. */
   readonly onLost?: (fault: StoreFault) => void;
   /** Called when a call succeeds after others failed. */
@@ -55,18 +57,18 @@
   #outage: { readonly lostAt: number; failedCalls: number; longestCallMs: number } | undefined;
   /** Monotonic time at which the call in flight was sent, in milliseconds. */
   #sentAt = 0;
-  #heardAt: number | undefined;
+  #currentAt: number | undefined;
 
   constructor(options: FeedConsumerOptions) {
     this.#options = options;
   }
 
   /**
-   * Monotonic time in milliseconds at which the store last said what is current; undefined before the
-   * first snapshot.
+   * Monotonic time in milliseconds up to which all rows were passed on; undefined before the first
+   * snapshot.
    */
-  get heardAt(): number | undefined {
-    return this.#heardAt;
+  get currentAt(): number | undefined {
+    return this.#currentAt;
   }
 
   /** Consumes the feed until `stop` is called. */
@@ -101,8 +103,8 @@
     if (snapshot === undefined) return true;
     this.#recordSuccess();
     this.#version = snapshot.version;
-    this.#heardAt = performance.now();
     this.#options.onRows(snapshot.rows, true);
+    this.#recordCurrent(snapshot.currentAt);
     return true;
   }
 
@@ -120,13 +122,18 @@
       return this.#recordFailure(page.error);
     }
     this.#recordSuccess();
-    this.#heardAt = performance.now();
     this.#version = Math.max(this.#version ?? 0, page.value.version);
     const rows = page.value.rows.filter((row) => parts.includes(row.part));
     if (rows.length > 0) this.#options.onRows(rows, false);
+    this.#recordCurrent(page.value.currentAt);
     return true;
   }
 
+  #recordCurrent(currentAt: number): void {
+    this.#currentAt = Math.max(this.#currentAt ?? -Infinity, currentAt);
+    this.#options.onCurrent?.(this.#currentAt);
+  }
+
   /** Reports the first of consecutive failures; always returns false. */
   #recordFailure(fault: StoreFault): boolean {
     const now = performance.now();
--- a/packages/store/src/row-scanner.ts
+++ b/packages/store/src/row-scanner.ts
@@ -31,6 +31,8 @@
    * must be consumed from here.
    */
   readonly version: number;
+  /** Earliest monotonic time at which the store sent one of the pages, in milliseconds. */
+  readonly currentAt: number;
 }
 
 /**
@@ -45,6 +47,7 @@
   return {
     rows: pages.flatMap(({ rows }) => rows),
     version: Math.min(...pages.map(({ version }) => version)),
+    currentAt: Math.min(...pages.map(({ currentAt }) => currentAt)),
   };
 }
 
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -52,6 +52,8 @@
   readonly rows: readonly Row[];
   /** Version to pass as `after` to the next poll. */
   readonly version: number;
+  /** Monotonic time up to which the rows are complete, in milliseconds: when the store sent them. */
+  readonly currentAt: number;
 }
 
 /** A range of rows in one part of a table. */
@@ -69,6 +71,8 @@
   readonly rows: readonly Row[];
   readonly hasMore: boolean;
   readonly version: number;
+  /** Monotonic time at which the store sent the rows, in milliseconds. */
+  readonly currentAt: number;
   /** Milliseconds from the first to the last byte of the response. */
   readonly transferMs: number;
 }
