--- /dev/null
+++ b/packages/features/steps/count-steps.ts
@@ -0,0 +1,85 @@
+import { createSubmissionId } from '@currantgap/standins';
+import { Then, When } from '@cucumber/cucumber';
+import assert from 'node:assert/strict';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { getState } from './platform-steps.ts';
+
+/** A count that a node answered, and the submissions that had been accepted some time before. */
+interface CountRecord {
+  readonly waiting: number;
+  readonly acceptedBefore: number;
+}
+
+/** Milliseconds after which an accepted submission has to be counted. */
+const COUNTED_AFTER_MS = 5_000;
+const COUNT_INTERVAL_MS = 50;
+const MILLISECONDS_PER_SECOND = 1_000;
+const TASK_SPEC = { cpu: 1_000, ms: 250 };
+
+let counts: CountRecord[] = [];
+
+When(
+  '{int} submissions a second are sent for {int} s while the store drops its history each {int} ms',
+  async (rate: number, seconds: number, dropMs: number) => {
+    const { deployment } = getState();
+    const acceptedAt: number[] = [];
+    const sendNext = async (index: number): Promise<void> => {
+      const node = deployment.nodes[index % deployment.nodes.length];
+      assert.ok(node);
+      const id = createSubmissionId();
+      const { status } = await deployment.submit(node, id, [1], TASK_SPEC);
+      if (status === 200) acceptedAt.push(performance.now());
+    };
+    const drops = setInterval(() => {
+      deployment.storeServer.store.dropHistory();
+    }, dropMs);
+    const endsAt = performance.now() + seconds * MILLISECONDS_PER_SECOND;
+    counts = [];
+    const counting = countUntil(endsAt, acceptedAt);
+    for (let index = 0; performance.now() < endsAt; index += 1) {
+      void sendNext(index);
+      await sleep(MILLISECONDS_PER_SECOND / rate);
+    }
+    clearInterval(drops);
+    await counting;
+  },
+);
+
+Then('no count was below half of the submissions that had been accepted 5 s before', () => {
+  const answered = counts.filter(({ acceptedBefore }) => acceptedBefore > 0);
+  assert.ok(answered.length > 0, 'counts were answered');
+  const wrong = answered.filter(({ waiting, acceptedBefore }) => 2 * waiting < acceptedBefore);
+  assert.equal(wrong.length, 0, `${wrong.length} of ${answered.length}: ${describe(wrong)}`);
+});
+
+Then(
+  'every node counts {int} or more waiting submissions within {int} s',
+  async (least: number, seconds: number) => {
+    const { deployment } = getState();
+    const deadline = performance.now() + seconds * MILLISECONDS_PER_SECOND;
+    for (const node of deployment.nodes) {
+      while (((await deployment.countWaiting(node)).waiting ?? 0) < least) {
+        assert.ok(performance.now() < deadline, 'the count is current in time');
+        await sleep(COUNT_INTERVAL_MS);
+      }
+    }
+  },
+);
+
+/** Asks all nodes in turn; no task ever begins, so that all accepted submissions wait. */
+async function countUntil(endsAt: number, acceptedAt: readonly number[]): Promise<void> {
+  const { deployment } = getState();
+  for (let index = 0; performance.now() < endsAt; index += 1) {
+    const node = deployment.nodes[index % deployment.nodes.length];
+    assert.ok(node);
+    const countedFrom = performance.now() - COUNTED_AFTER_MS;
+    const acceptedBefore = acceptedAt.filter((at) => at < countedFrom).length;
+    const { waiting } = await deployment.countWaiting(node);
+    if (waiting !== undefined) counts.push({ waiting, acceptedBefore });
+    await sleep(COUNT_INTERVAL_MS);
+  }
+}
+
+function describe(wrong: readonly CountRecord[]): string {
+  return wrong.map(({ waiting, acceptedBefore }) => `${waiting}/${acceptedBefore}`).join(' ');
+}
--- a/packages/features/steps/platform-steps.ts
+++ b/packages/features/steps/platform-steps.ts
@@ -36,7 +36,8 @@
 
 let state: ScenarioState | undefined;
 
-function getState(): ScenarioState {
+/** Gets the state of the running scenario. */
+export function getState(): ScenarioState {
   if (state === undefined) throw new Error('the scenario has no deployment');
   return state;
 }
--- a/packages/standins/src/platform/deployment.ts
+++ b/packages/standins/src/platform/deployment.ts
@@ -27,6 +27,8 @@
   readonly status: number;
   /** State of the submission, if the response has one. */
   readonly state: string | undefined;
+  /** Number of waiting submissions, if the response has one. */
+  readonly waiting: number | undefined;
   /** Value of the `retry-after` header. */
   readonly retryAfter: string | undefined;
 }
@@ -160,6 +162,11 @@
     return send(node.options.host, node.callerPort, 'GET', `${PREFIX}${id}`);
   }
 
+  /** Requests the number of submissions that wait in the queue. */
+  async countWaiting(node: NodeProcess): Promise<SubmissionResponse> {
+    return send(node.options.host, node.callerPort, 'GET', PREFIX);
+  }
+
   /** Requests the cancellation of a submission. */
   async cancel(node: NodeProcess, id: string): Promise<SubmissionResponse> {
     return send(node.options.host, node.callerPort, 'DELETE', `${PREFIX}${id}`);
@@ -198,11 +205,14 @@
     const [response] = (await once(outgoing, 'response')) as [IncomingMessage];
     let text = '';
     for await (const chunk of response) text += String(chunk);
-    const { state } = (text === '' ? {} : JSON.parse(text)) as { state?: string };
+    const { state, waiting } = (text === '' ? {} : JSON.parse(text)) as {
+      state?: string;
+      waiting?: number;
+    };
     const retryAfter = response.headers['retry-after'];
-    return { status: response.statusCode ?? 0, state, retryAfter };
+    return { status: response.statusCode ?? 0, state, waiting, retryAfter };
   } catch {
     // A missing response is an expected result here, not a failure of the test.
-    return { status: 0, state: undefined, retryAfter: undefined };
+    return { status: 0, state: undefined, waiting: undefined, retryAfter: undefined };
   }
 }
