--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { PageSizer } from './page-sizer.ts';
 import { pollOverlapping } from './overlapping-poll.ts';
-import { scanRows } from './row-scanner.ts';
+import { FeedRescan } from './feed-rescan.ts';
+import { scanRows, type ScanOptions, type ScanResult } from './row-scanner.ts';
 import { StoreFaultKind, type Row, type Store, type StoreFault } from './store.ts';
 
 /**
@@ -12,6 +13,8 @@
 const POLL_WAIT_MS = 1_500;
 /** Longest delay in milliseconds before a failed call is retried; half of it is jitter. */
 const RETRY_DELAY_MS = 200;
+/** Follows all keys, so that a read from here on returns only the version. */
+const LAST_KEY = '\u{10ffff}';
 
 /** A time in which all calls of a feed failed. */
 export interface FeedOutage {
@@ -33,7 +36,7 @@
   /** Milliseconds between a response and the next poll; batches changes into fewer calls. */
   readonly pauseMs: number;
   /**
-   * Receives a snapshot of all rows at first and whenever the feed's history was lost, and the
+   * Receives a snapshot of all rows at first and some time after the feed's history was lost, and the
    * changed rows in between.
    */
   readonly onRows: (rows: readonly Row[], isSnapshot: boolean) => void;
@@ -46,21 +49,33 @@
 }
 
 /**
- * Reads a snapshot of some parts of one table and then consumes the table's change feed. Takes
- * a new snapshot when the store no longer has the history since the last poll.
+ * Reads a snapshot of some parts of one table and then consumes the table's change feed. When the
+ * store no longer has the history since the last poll, goes on from the store's present version and
+ * reads a new snapshot beside the feed, so that new changes do not wait for it.
  */
 export class FeedConsumer {
   readonly #options: FeedConsumerOptions;
-  /** Version up to which changes were consumed; undefined when a snapshot is due. */
+  readonly #rescan: FeedRescan;
+  /** Version up to which changes were consumed; undefined when the feed has to begin anew. */
   #version: number | undefined;
+  #hasSnapshot = false;
   #isStopped = false;
   #outage: { readonly lostAt: number; failedCalls: number; longestCallMs: number } | undefined;
   /** Monotonic time at which the call in flight was sent, in milliseconds. */
   #sentAt = 0;
+  /** Monotonic time up to which the feed was consumed without a gap, in milliseconds. */
+  #consumedAt = -Infinity;
   #currentAt: number | undefined;
 
   constructor(options: FeedConsumerOptions) {
     this.#options = options;
+    this.#rescan = new FeedRescan({
+      scan: async () => this.#scan(),
+      onRead: (rows, gapAt) => {
+        options.onRows(rows, true);
+        this.#recordCurrent(gapAt ?? this.#consumedAt);
+      },
+    });
   }
 
   /**
@@ -74,8 +89,7 @@
   /** Consumes the feed until `stop` is called. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      const hasSucceeded =
-        this.#version === undefined ? await this.#readSnapshot() : await this.#poll();
+      const hasSucceeded = await this.#advance();
       await sleep(
         hasSucceeded ? this.#options.pauseMs : RETRY_DELAY_MS * (0.5 + Math.random() / 2),
       );
@@ -87,45 +101,66 @@
     this.#isStopped = true;
   }
 
-  async #readSnapshot(): Promise<boolean> {
+  async #advance(): Promise<boolean> {
     this.#sentAt = performance.now();
+    if (!this.#hasSnapshot) return this.#readSnapshot();
+    return this.#version === undefined ? this.#beginAnew() : this.#poll(this.#version);
+  }
+
+  async #readSnapshot(): Promise<boolean> {
+    const snapshot = await this.#scan((fault) => {
+      if (fault === undefined) this.#recordSuccess();
+      else this.#recordFailure(fault);
+    });
+    if (snapshot === undefined) return true;
+    this.#recordSuccess();
+    this.#hasSnapshot = true;
+    this.#version = snapshot.version;
+    this.#consumedAt = snapshot.currentAt;
+    this.#options.onRows(snapshot.rows, true);
+    this.#recordCurrent(snapshot.currentAt);
+    return true;
+  }
+
+  async #scan(onFault?: ScanOptions['onFault']): Promise<ScanResult | undefined> {
     const { store, table, parts, pageSizer } = this.#options;
-    const snapshot = await scanRows({
+    return scanRows({
       store,
       ranges: parts.map((part) => ({ table, part })),
       pageSizer,
       isActive: () => !this.#isStopped,
-      onFault: (fault) => {
-        if (fault === undefined) this.#recordSuccess();
-        else this.#recordFailure(fault);
-      },
+      ...(onFault === undefined ? {} : { onFault }),
     });
-    if (snapshot === undefined) return true;
+  }
+
+  /** Goes on from the store's present version; what was missed before it is read beside the feed. */
+  async #beginAnew(): Promise<boolean> {
+    const { store, table, parts } = this.#options;
+    const page = await store.read({ table, part: parts[0] ?? '', from: LAST_KEY, limit: 1 });
+    if (this.#isStopped) return true;
+    if (page.isErr()) return this.#recordFailure(page.error);
     this.#recordSuccess();
-    this.#version = snapshot.version;
-    this.#options.onRows(snapshot.rows, true);
-    this.#recordCurrent(snapshot.currentAt);
+    this.#rescan.request(this.#consumedAt);
+    this.#version = page.value.version;
+    this.#consumedAt = page.value.currentAt;
     return true;
   }
 
-  async #poll(): Promise<boolean> {
+  async #poll(version: number): Promise<boolean> {
     const { store, table, parts } = this.#options;
-    this.#sentAt = performance.now();
-    const page = await pollOverlapping(store, {
-      table,
-      after: this.#version ?? 0,
-      waitMs: POLL_WAIT_MS,
-    });
+    const page = await pollOverlapping(store, { table, after: version, waitMs: POLL_WAIT_MS });
     if (this.#isStopped) return true;
     if (page.isErr()) {
       if (page.error.kind === StoreFaultKind.HistoryGone) this.#version = undefined;
       return this.#recordFailure(page.error);
     }
     this.#recordSuccess();
-    this.#version = Math.max(this.#version ?? 0, page.value.version);
+    this.#version = Math.max(version, page.value.version);
+    this.#consumedAt = Math.max(this.#consumedAt, page.value.currentAt);
     const rows = page.value.rows.filter((row) => parts.includes(row.part));
+    this.#rescan.record(rows);
     if (rows.length > 0) this.#options.onRows(rows, false);
-    this.#recordCurrent(page.value.currentAt);
+    if (!this.#rescan.isRunning) this.#recordCurrent(this.#consumedAt);
     return true;
   }
 
