fix(jobs,execution): a successor learns whether a task of a job has begun

Cause: a new owner took every job with a ledger row as begun. A row is also written for the suspects of a target's crash, of which some had only been ordered to start. The other way round, a run whose end was reported before its start was answered did not count as begun.

Change: the row says so if no task has begun; each end of a run means that its task had.

Why it works: what has begun is known from answered starts, reports and ends alone, in this term or from the row. Rows without the field, of an earlier version, mean begun as before.

Evidence: two tests, in ledger.test.ts and report-processor.test.ts, fail before and pass after.

--- a/packages/execution/src/job-index.ts
+++ b/packages/execution/src/job-index.ts
@@ -111,7 +111,6 @@
     this.#ledgerRows.delete(row.key);
     applyLedgerRow(job, ledger.value);
     job.ledgerVersion = ledger.version;
-    job.hasStarted = true;
     return job;
   }
 }
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -188,6 +188,7 @@
     const { job } = task.step;
     task.recordCheckpoint(ended.checkpoint, assignment?.attempt);
     task.endedAt = now;
+    job.hasStarted = true;
     const route = active.get(job.id)?.route;
     const maximumAttempts = getMaximumAttempts(route);
     const effect = job.applyRunEnd(task, ended.run, ended.kind, maximumAttempts);
--- a/packages/execution/test/ledger.test.ts
+++ b/packages/execution/test/ledger.test.ts
@@ -23,6 +23,23 @@
     assert.equal(job.ledgerVersion, harness.store.peek(ROW)?.version);
   });
 
+  // Guards against submissions that a new owner leaves out of the count although none of their tasks began.
+  it('tells a successor whether a task of a job has begun', async () => {
+    for (const hasStarted of [false, true]) {
+      const harness = new TermHarness();
+      await harness.writeFence();
+      const job = harness.addJob(ID, [{}]);
+      job.hasStarted = hasStarted;
+      const changeNumber = harness.context.ledger.add(job);
+      await waitUntil(() => harness.writtenChanges.includes(changeNumber));
+      const row = harness.store.peek(ROW);
+      assert.ok(row);
+      const successor = new TermHarness();
+      successor.context.jobs.loadLedgerRows([row]);
+      assert.equal(successor.addJob(ID, [{}]).hasStarted, hasStarted);
+    }
+  });
+
   it('detects that a write without a response was committed', async () => {
     const harness = new TermHarness();
     await harness.writeFence();
--- a/packages/execution/test/report-processor.test.ts
+++ b/packages/execution/test/report-processor.test.ts
@@ -83,6 +83,7 @@
       const ended = [createEnded(4, '0000000000000002.0.0.0', 3, EndKind.Done)];
       parts.reportProcessor.apply(parts.target, createReport({ ended }), parts.harness.now);
       assert.equal(job.state, JobState.Completed);
+      assert.ok(job.hasStarted, 'a run that has ended had begun');
     });
   });
 
--- a/packages/jobs/src/ledger-row.ts
+++ b/packages/jobs/src/ledger-row.ts
@@ -15,6 +15,8 @@
 /** Stored progress of a job. */
 interface LedgerRow {
   readonly state: JobState;
+  /** False if no task has begun, as where only the crash of a target that was ordered to is stored. */
+  readonly hasStarted?: boolean;
   readonly endedAt?: number;
   readonly doneOccurrences?: readonly number[];
   readonly open?: Readonly<Record<string, OccurrenceRow>>;
@@ -26,6 +28,7 @@
 export function encodeLedgerRow(job: Job): string {
   const row: LedgerRow = {
     state: job.state,
+    ...(job.hasStarted ? {} : { hasStarted: false }),
     ...(job.endedAt > 0 ? { endedAt: job.endedAt } : {}),
     ...(job.doneOccurrences.size > 0 ? { doneOccurrences: [...job.doneOccurrences] } : {}),
     ...(job.isEnded ? {} : { open: encodeOpenOccurrences(job) }),
@@ -38,6 +41,7 @@
   const row = JSON.parse(value) as LedgerRow;
   job.state = row.state;
   job.storedState = row.state;
+  job.hasStarted = row.hasStarted ?? true;
   job.endedAt = row.endedAt ?? 0;
   for (const number of row.doneOccurrences ?? []) job.doneOccurrences.add(number);
   for (const [number, open] of Object.entries(row.open ?? {})) {
