feat(store,execution): the owner logs when it has read all submissions again

The age of a count is rounded up between nodes, and a test holds that it is no younger where it was asked for.

--- a/packages/execution/src/term-feeds.ts
+++ b/packages/execution/src/term-feeds.ts
@@ -121,6 +121,14 @@
           longestCallMs: Math.round(longestCallMs),
         });
       },
+      onRecovered: ({ rows, tookMs, isComplete }) => {
+        logger.writeInfo('intake read again', {
+          epoch: term.epoch,
+          rows,
+          tookMs: Math.round(tookMs),
+          isComplete,
+        });
+      },
     };
   }
 }
--- a/packages/node/src/peer.ts
+++ b/packages/node/src/peer.ts
@@ -103,5 +103,5 @@
   const count = owner.countWaiting(decodeURIComponent(path.slice(ROUTE_PATH.length)));
   if (count === undefined) return undefined;
   const { waiting, currentAt, epoch } = count;
-  return { waiting, ageMs: Math.round(performance.now() - currentAt), epoch } satisfies WireCount;
+  return { waiting, ageMs: Math.ceil(performance.now() - currentAt), epoch } satisfies WireCount;
 }
--- a/packages/node/test/owner-client.test.ts
+++ b/packages/node/test/owner-client.test.ts
@@ -31,6 +31,11 @@
     try {
       assert.equal(await client.findState('a'), JobState.Pending);
       assert.equal(reports, 0);
+      const currentAt = performance.now() - 5_000;
+      owner = { ...VIEW, countWaiting: () => ({ waiting: 3, currentAt, epoch: 1 }) };
+      const count = await client.countWaiting('rute');
+      assert.equal(count?.waiting, 3);
+      assert.ok(count.currentAt <= currentAt, 'a count is no younger here than on the owner');
       owner = undefined;
       assert.equal(await client.findState('a'), OwnerLookupFault.Unreachable);
       assert.equal(reports, 1);
--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -26,6 +26,15 @@
   readonly longestCallMs: number;
 }
 
+/** A snapshot that was read beside the feed, after changes were missed. */
+export interface FeedRecovery {
+  readonly rows: number;
+  /** Milliseconds that the scan took. */
+  readonly tookMs: number;
+  /** Whether no changes were missed meanwhile. */
+  readonly isComplete: boolean;
+}
+
 /** Options of a feed consumer. */
 export interface FeedConsumerOptions {
   readonly store: Store;
@@ -48,6 +57,8 @@
   readonly onLost?: (fault: StoreFault) => void;
   /** Called when a call succeeds after others failed. */
   readonly onRegained?: (outage: FeedOutage) => void;
+  /** Called after a snapshot that was read because changes were missed. */
+  readonly onRecovered?: (recovery: FeedRecovery) => void;
 }
 
 /**
@@ -67,6 +78,8 @@
   #sentAt = 0;
   /** Monotonic time up to which the feed was consumed without a gap, in milliseconds. */
   #consumedAt = -Infinity;
+  /** Monotonic time at which the last scan began, in milliseconds. */
+  #scannedFrom = 0;
   #currentAt: number | undefined;
 
   constructor(options: FeedConsumerOptions) {
@@ -76,6 +89,8 @@
       onRead: (rows, gapAt) => {
         options.onRows(rows, true);
         this.#recordCurrent(gapAt ?? this.#consumedAt);
+        const tookMs = performance.now() - this.#scannedFrom;
+        options.onRecovered?.({ rows: rows.length, tookMs, isComplete: gapAt === undefined });
       },
     });
   }
@@ -126,6 +141,7 @@
 
   async #scan(onFault?: ScanOptions['onFault']): Promise<ScanResult | undefined> {
     const { store, table, parts, pageSizer } = this.#options;
+    this.#scannedFrom = performance.now();
     return scanRows({
       store,
       ranges: parts.map((part) => ({ table, part })),
