fix(node,ingress): a configuration that may be out of date is read when a request needs it

Cause: a poll that a silent store swallowed is replaced after 2 s, and the next one waits up to 1.5 s for a change before its answer shows that nothing has changed. Change: a request that meets a configuration older than `bounds.config_apply_ms` has its row read beside the feed, at most twice a second and through the client of the probes, whose unanswered calls lengthen no timeout of others. Why it works: a read is answered at once, whether or not something has changed. In steady state (age up to 1.6 s) nothing is read. Test (virtual time, silences of 3 to 9 s): without the read 31 of 31 took 1,529 to 3,908 ms from the return of the store until the age was within the bound; with it all are within the 1,000 ms of Retry-After.

--- a/packages/ingress/src/request-router.ts
+++ b/packages/ingress/src/request-router.ts
@@ -18,6 +18,8 @@
   abstract get ageMs(): number;
   /** Milliseconds within which an accepted configuration must be in force on every node. */
   abstract get applyMs(): number;
+  /** Asks the store for the configuration, so that the next request finds it confirmed. */
+  abstract requestRefresh(): void;
 }
 
 /** A request that matched a route and passed authentication. */
@@ -42,7 +44,8 @@
 
   /** Finds the route and the team of a request, or the response that refuses it. */
   authenticate(request: IncomingMessage): Result<RoutedRequest, JsonResponse> {
-    const { routes } = this.#known;
+    const { routes, ageMs, applyMs } = this.#known;
+    if (ageMs > applyMs) this.#known.requestRefresh();
     if (routes === undefined)
       return err(buildUnavailable('No configuration is in force here yet.'));
     const path = request.url?.split('?')[0] ?? '/';
--- a/packages/ingress/test/admission.test.ts
+++ b/packages/ingress/test/admission.test.ts
@@ -63,6 +63,10 @@
   override readonly routes = new RouteTable(CONFIGURATION);
   override readonly ageMs = 0;
   override readonly applyMs = 2_000;
+
+  override requestRefresh(): void {
+    // These tests set the age themselves.
+  }
 }
 
 class CountingObserver extends RequestObserver {
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -45,6 +45,10 @@
   override routes: RouteTable | undefined;
   override ageMs = 0;
   override readonly applyMs = APPLY_MS;
+
+  override requestRefresh(): void {
+    // These tests set the age themselves.
+  }
 }
 
 class ScriptedOwner extends OwnerPort {
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -25,12 +25,12 @@
   type NodeSettings,
 } from '@currantgap/platform-adapter';
 import { PageSizer } from '@currantgap/store';
-import { listenOn, SystemClock } from '@currantgap/tasks';
+import { SystemClock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import { randomBytes } from 'node:crypto';
-import { createServer, type RequestListener, type Server } from 'node:http';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { AdmissionRelay } from './admission-relay.ts';
+import { HttpListeners } from './http-listeners.ts';
 import { NodeConfiguration } from './node-configuration.ts';
 import { NodeMetrics } from './node-metrics.ts';
 import { OperatorFeedConsumer } from './operator-feed-consumer.ts';
@@ -59,8 +59,6 @@
 const DRAIN_POLL_MS = 50;
 /** Milliseconds that an idle client connection stays open: longer than any client's own limit. */
 const KEEP_ALIVE_MS = 60_000;
-const HEADER_TIMEOUT_MS = 10_000;
-const MAXIMUM_HEADER_BYTES = 65_536;
 
 /** Report of a term whose owner has not been created yet. */
 const UNSETTLED_TERM: TermReport = {
@@ -79,14 +77,17 @@
   /** Connections of their own, so that lease renewals wait for no other call. */
   readonly #leaseHttpClient = new HttpClient(LEASE_CONNECTIONS);
   readonly #store: HttpStore;
+  /** Unanswered calls through it do not lengthen the timeouts of other calls. */
+  readonly #probeStore: HttpStore;
   readonly #pageSizer: PageSizer;
   readonly #operatorFeed: OperatorFeedConsumer;
+  readonly #configuration: NodeConfiguration;
   /** What the owner has last told about contention. */
   readonly #evidence = new EvidenceHolder();
   readonly #ingress: IngressHandler;
   readonly #ownership: Ownership;
   readonly #forwarder: Forwarder;
-  readonly #servers: Server[] = [];
+  readonly #listeners = new HttpListeners();
   /** Identifies this lifetime of the process. */
   readonly #incarnation = randomBytes(8).toString('hex');
   #owner: Owner | undefined;
@@ -99,10 +100,16 @@
     this.#settings = settings;
     this.#logger = logger;
     this.#store = new HttpStore(() => settings.current.storeAddress, this.#httpClient);
+    this.#probeStore = new HttpStore(() => settings.current.storeAddress, this.#httpClient);
     this.#pageSizer = new PageSizer(settings.current.linkMbps);
     this.#operatorFeed = new OperatorFeedConsumer(this.#store, this.#pageSizer, logger, () => {
       this.#owner?.post({ kind: 'configured' });
     });
+    this.#configuration = new NodeConfiguration({
+      feed: this.#operatorFeed,
+      store: this.#probeStore,
+      getBounds: () => settings.current.bounds,
+    });
     this.#ownership = this.#createOwnership(settings.current);
     this.#forwarder = this.#createForwarder(settings.current);
     this.#ingress = this.#createIngress();
@@ -114,24 +121,24 @@
   async start(): Promise<void> {
     const { callerEndpoint, readinessEndpoint, peerEndpoint, metricsEndpoint, node, dataCentre } =
       this.#settings.current;
-    const callerServer = await this.#listen(callerEndpoint, (request, response) => {
+    const callerServer = await this.#listeners.listen(callerEndpoint, (request, response) => {
       this.#ingress.handle(request, response).catch((error: unknown) => {
         this.#logger.writeError('call failed', { reason: describeError(error) });
         response.destroy();
       });
     });
     callerServer.keepAliveTimeout = KEEP_ALIVE_MS;
-    await this.#listen(readinessEndpoint, (_, response) => {
+    await this.#listeners.listen(readinessEndpoint, (_, response) => {
       response.writeHead(this.#isReady() ? 200 : 503, { 'content-length': 0 }).end();
     });
-    const peerServer = await this.#listen(peerEndpoint, (request, response) => {
+    const peerServer = await this.#listeners.listen(peerEndpoint, (request, response) => {
       handlePeerCall(request, response, this.#owner);
     });
     peerServer.on('upgrade', (request, socket, head) => {
       const acceptor = this.#forwarderPool;
       acceptForwarder({ request, socket, head, acceptor }, this.#logger);
     });
-    await this.#listen(metricsEndpoint, (_, response) => {
+    await this.#listeners.listen(metricsEndpoint, (_, response) => {
       void this.#metrics.registry.metrics().then((text) => {
         response.writeHead(200, { 'content-type': this.#metrics.registry.contentType }).end(text);
       });
@@ -170,10 +177,7 @@
     this.#operatorFeed.stop();
     this.#ingress.close();
     this.#settings.stop();
-    for (const server of this.#servers) {
-      server.close();
-      server.closeAllConnections();
-    }
+    this.#listeners.close();
     this.#httpClient.close();
     this.#targetHttpClient.close();
     this.#leaseHttpClient.close();
@@ -320,31 +324,16 @@
         this.#ownership.endPause();
       },
     );
-    // A client of its own, so that unanswered probes do not lengthen the timeouts of other calls.
-    const probeStore = new HttpStore(() => this.#settings.current.storeAddress, this.#httpClient);
     return new IngressHandler({
       store: this.#store,
-      probe: new StoreProbe(probeStore, this.#settings.current.node),
+      probe: new StoreProbe(this.#probeStore, this.#settings.current.node),
       logger: this.#logger,
       owner,
       observer: this.#metrics,
-      configuration: new NodeConfiguration(this.#operatorFeed, this.#settings),
+      configuration: this.#configuration,
       evidence: this.#evidence,
       decodeSubmission,
       deadlineHeader: DEADLINE_HEADER,
     });
   }
-
-  async #listen(
-    endpoint: { host: string; port: number },
-    handle: RequestListener,
-  ): Promise<Server> {
-    const server = createServer(
-      { maxHeaderSize: MAXIMUM_HEADER_BYTES, headersTimeout: HEADER_TIMEOUT_MS },
-      handle,
-    );
-    this.#servers.push(server);
-    await listenOn(server, endpoint.host, endpoint.port);
-    return server;
-  }
 }
--- a/packages/node/src/operator-feed-consumer.ts
+++ b/packages/node/src/operator-feed-consumer.ts
@@ -24,6 +24,8 @@
   readonly #waves = new Map<string, Wave>();
   #evacuated: ReadonlySet<string> = new Set();
   #routes: RouteTable | undefined;
+  /** Monotonic time at which the configuration was last read beside the feed, in milliseconds. */
+  #confirmedAt = -Infinity;
 
   constructor(store: Store, pageSizer: PageSizer, logger: Logger, onChange: () => void) {
     this.#logger = logger;
@@ -71,6 +73,11 @@
     return currentAt === undefined ? 0 : Math.round(performance.now() - currentAt);
   }
 
+  /** Milliseconds since the time up to which the configuration is known to be in force. */
+  get configurationAgeMs(): number {
+    return Math.round(Math.min(this.heardMs, performance.now() - this.#confirmedAt));
+  }
+
   /** Current state of everything that operators have written. */
   get view(): OperatorView {
     return {
@@ -89,6 +96,16 @@
     this.#consumer.stop();
   }
 
+  /** Records the row of the configuration as it stood in the store at a monotonic time. */
+  recordConfiguration(row: Row, confirmedAt: number): void {
+    const known = this.#routes?.configuration.version;
+    const { version = -1 } = decodeConfiguration(parseJson(row.value)) ?? {};
+    // The feed has brought a newer one while the row was read, or the row cannot be used.
+    if (known === undefined || version < known) return;
+    if (version > known) this.#apply([row], false);
+    this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
+  }
+
   #apply(rows: readonly Row[], isSnapshot: boolean): void {
     const evacuated = new Set(isSnapshot ? [] : this.#evacuated);
     if (isSnapshot) this.#waves.clear();
--- a/packages/node/test/operator-feed-consumer.test.ts
+++ b/packages/node/test/operator-feed-consumer.test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
+import { before, describe, it } from 'node:test';
+import { NodeConfiguration } from '../src/node-configuration.ts';
 import { OperatorFeedConsumer } from '../src/operator-feed-consumer.ts';
-import { HttpClient, HttpStore, OPERATOR_TABLE } from '@currantgap/platform-adapter';
+import {
+  HttpClient,
+  HttpStore,
+  OPERATOR_TABLE,
+  type NodeBounds,
+} from '@currantgap/platform-adapter';
 import type { HttpFault, HttpRequestOptions, HttpResponse } from '@currantgap/platform-adapter';
 import { MemoryStore, VirtualTime, waitUntil } from '@currantgap/standins';
 import { PageSizer } from '@currantgap/store';
@@ -16,6 +22,10 @@
  * configuration that is acknowledged (`contact_ms` of the deployments).
  */
 const CONTACT_MS = 3_000;
+/** Milliseconds after which a caller who was answered 503 comes back (`retry-after`). */
+const RETRY_AFTER_MS = 1_000;
+/** Milliseconds within which a configuration must be in force (`config_apply_ms`). */
+const APPLY_MS = 2_000;
 const ROW = { table: OPERATOR_TABLE, part: '', key: 'config' };
 
 /** A connection to a store that takes requests and answers none while it is silent. */
@@ -93,38 +103,102 @@
     assert.equal(lines.length, 1);
   });
 
-  // Guards against CONFIG: nodes served by an old configuration until 3.3 s after a silent store was back.
-  it('has a configuration in force in time after a store that was silent is back', async () => {
+  describe('after a store that was silent is back', () => {
     const time = new VirtualTime();
-    time.start();
-    const latest: string[] = [];
-    for (let silentMs = 200; silentMs <= 6_000; silentMs += 200) {
+
+    before(() => {
+      time.start();
+    });
+
+    // Guards against CONFIG: nodes served by an old configuration until 3.3 s after a silent store was back.
+    it('has a configuration in force in time', async () => {
+      const latest: string[] = [];
+      for (let silentMs = 200; silentMs <= 6_000; silentMs += 200) {
+        const client = new SilenceableClient();
+        const store = new HttpStore(() => 'store:1', client);
+        const feed = new OperatorFeedConsumer(store, new PageSizer(1_000), new Logger(), () => {
+          // Nothing depends on the change here.
+        });
+        await client.configure(1);
+        void feed.run();
+        await time.run(2_000, () => feed.routes !== undefined);
+        client.isSilent = true;
+        // Writes of the ingress that the store does not answer either.
+        for (let write = 0; write < 8; write += 1) {
+          void store.commit({ conditions: [], puts: [], removals: [] });
+        }
+        await time.run(silentMs);
+        await client.configure(2);
+        client.isSilent = false;
+        const backAt = time.now;
+        await time.run(10_000, () => feed.routes?.configuration.version === 2);
+        if (time.now - backAt > CONTACT_MS) latest.push(`${silentMs}: ${time.now - backAt}`);
+        feed.stop();
+        await time.run(10_000);
+      }
+      assert.deepEqual(
+        latest,
+        [],
+        'milliseconds of silence, and until the configuration is in force',
+      );
+    });
+
+    // Guards against nodes that answer 503 for as long again as a poll after a silent store is back.
+    it('has its configuration confirmed when a caller comes back', async () => {
+      const latest: string[] = [];
+      for (let silentMs = 3_000; silentMs <= 9_000; silentMs += 200) {
+        const client = new SilenceableClient();
+        const store = new HttpStore(() => 'store:1', client);
+        const feed = new OperatorFeedConsumer(store, new PageSizer(1_000), new Logger(), () => {
+          // Nothing depends on the change here.
+        });
+        const getBounds = () => ({ configurationApplyMs: APPLY_MS }) as NodeBounds;
+        const configuration = new NodeConfiguration({ feed, store, getBounds });
+        await client.configure(1);
+        void feed.run();
+        await time.run(2_000, () => feed.routes !== undefined);
+        client.isSilent = true;
+        await time.run(silentMs);
+        client.isSilent = false;
+        const backAt = time.now;
+        while (configuration.ageMs > APPLY_MS && time.now < backAt + 10_000) {
+          configuration.requestRefresh();
+          await time.run(100, () => configuration.ageMs <= APPLY_MS);
+        }
+        if (time.now - backAt > RETRY_AFTER_MS) latest.push(`${silentMs}: ${time.now - backAt}`);
+        feed.stop();
+        await time.run(10_000);
+      }
+      assert.deepEqual(
+        latest,
+        [],
+        'milliseconds of silence, and until the age is within the bound',
+      );
+    });
+
+    it('takes a newer configuration, and no older one, that is read beside the feed', async () => {
       const client = new SilenceableClient();
       const store = new HttpStore(() => 'store:1', client);
       const feed = new OperatorFeedConsumer(store, new PageSizer(1_000), new Logger(), () => {
         // Nothing depends on the change here.
       });
-      await client.configure(1);
+      await client.configure(5);
       void feed.run();
       await time.run(2_000, () => feed.routes !== undefined);
-      client.isSilent = true;
-      // Writes of the ingress that the store does not answer either.
-      for (let write = 0; write < 8; write += 1) {
-        void store.commit({ conditions: [], puts: [], removals: [] });
-      }
-      await time.run(silentMs);
-      await client.configure(2);
-      client.isSilent = false;
-      const backAt = time.now;
-      await time.run(10_000, () => feed.routes?.configuration.version === 2);
-      if (time.now - backAt > CONTACT_MS) latest.push(`${silentMs}: ${time.now - backAt}`);
       feed.stop();
-      await time.run(10_000);
-    }
-    assert.deepEqual(
-      latest,
-      [],
-      'milliseconds of silence, and until the configuration is in force',
-    );
+      const seen: unknown[] = [];
+      for (const version of [6, 4]) {
+        await time.run(10_000);
+        await client.configure(version);
+        const getBounds = () => ({ configurationApplyMs: APPLY_MS }) as NodeBounds;
+        new NodeConfiguration({ feed, store, getBounds }).requestRefresh();
+        await time.run(100);
+        seen.push([feed.routes?.configuration.version, feed.configurationAgeMs < APPLY_MS]);
+      }
+      assert.deepEqual(seen, [
+        [6, true],
+        [6, false],
+      ]);
+    });
   });
 });
