fix(ingress,node,platform): no work is accepted by a configuration in which a key may be withdrawn

Callers: a key that was withdrawn, or a route that was dropped, went on working at a node that had not heard of it, for as long as its operator feed was behind while its writes succeeded. Cause: a request was authenticated by the last configuration that the feed had brought, whatever its age. Reads are answered at any age; docs/design/platform.md says why. Why it works: an age within the bound shows that no withdrawal older than the bound is unknown here. Test: POST and DELETE at 5,001 ms were answered 200 and 200 before, 503 and 503 now; at 5,000 ms 200 as before, and GET 200 at both.

--- a/packages/ingress/src/request-router.ts
+++ b/packages/ingress/src/request-router.ts
@@ -18,8 +18,20 @@
   abstract get ageMs(): number;
   /** Milliseconds within which an accepted configuration must be in force on every node. */
   abstract get applyMs(): number;
+  /** Milliseconds within which a withdrawn key must stop working. */
+  abstract get revocationMs(): number;
   /** Asks the store for the configuration, so that the next request finds it confirmed. */
   abstract requestRefresh(): void;
+
+  /** Whether a request may be refused by these routes: no newer ones need be in force. */
+  get canRefuse(): boolean {
+    return this.ageMs <= this.applyMs;
+  }
+
+  /** Whether work may be accepted by these routes: no key of theirs need have stopped working. */
+  get canAccept(): boolean {
+    return this.ageMs <= this.revocationMs;
+  }
 }
 
 /** A request that matched a route and passed authentication. */
@@ -44,8 +56,8 @@
 
   /** Finds the route and the team of a request, or the response that refuses it. */
   authenticate(request: IncomingMessage): Result<RoutedRequest, JsonResponse> {
-    const { routes, ageMs, applyMs } = this.#known;
-    if (ageMs > applyMs) this.#known.requestRefresh();
+    const { routes, canRefuse, canAccept } = this.#known;
+    if (!canRefuse) this.#known.requestRefresh();
     if (routes === undefined)
       return err(buildUnavailable('No configuration is in force here yet.'));
     const path = request.url?.split('?')[0] ?? '/';
@@ -62,20 +74,25 @@
       const refusal = buildRefusal(401, FaultKind.Unauthorised, message, remedy);
       return err(this.#refuse(request, routes, refusal));
     }
+    // A read runs nothing, and its answer by the owner is of use while the store is away for all nodes.
+    if (!canAccept && request.method !== 'GET') return err(this.#refuse(request, routes));
     return ok({ ...match, team: team ?? '', configuration: routes.configuration });
   }
 
-  #refuse(request: IncomingMessage, routes: RouteTable, refusal: JsonResponse): JsonResponse {
-    const { ageMs, applyMs } = this.#known;
+  /** Gives a refusal if it can be given, and 503 otherwise. */
+  #refuse(request: IncomingMessage, routes: RouteTable, refusal?: JsonResponse): JsonResponse {
+    const { canRefuse, ageMs } = this.#known;
     const response =
-      ageMs > applyMs ? buildUnavailable('The configuration here may be out of date.') : refusal;
+      canRefuse && refusal !== undefined
+        ? refusal
+        : buildUnavailable('The configuration here may be out of date.');
     this.#log.write({
       request: /[0-9a-f]{16}$/i.exec(request.url ?? '')?.[0] ?? '',
       method: request.method ?? '',
       host: (request.headers.host ?? '').slice(0, MAXIMUM_LOGGED_CHARACTERS),
       path: (request.url ?? '').slice(0, MAXIMUM_LOGGED_CHARACTERS),
       status: response.status,
-      refusal: refusal.status,
+      refusal: refusal?.status ?? 0,
       configuration: routes.configuration.version,
       configurationAgeMs: ageMs,
     });
--- a/packages/ingress/test/admission.test.ts
+++ b/packages/ingress/test/admission.test.ts
@@ -63,6 +63,7 @@
   override readonly routes = new RouteTable(CONFIGURATION);
   override readonly ageMs = 0;
   override readonly applyMs = 2_000;
+  override readonly revocationMs = 5_000;
 
   override requestRefresh(): void {
     // These tests set the age themselves.
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -29,6 +29,8 @@
 const ID = '00000000000000aa';
 /** Milliseconds within which an accepted configuration must be in force. */
 const APPLY_MS = 2_000;
+/** Milliseconds within which a withdrawn key must stop working. */
+const REVOCATION_MS = 5_000;
 const BODY = JSON.stringify({ spec: 'x', steps: [{ count: 1, cpu: 500, mem_mb: 1 }] });
 
 class SilentObserver extends RequestObserver {
@@ -45,6 +47,7 @@
   override routes: RouteTable | undefined;
   override ageMs = 0;
   override readonly applyMs = APPLY_MS;
+  override readonly revocationMs = REVOCATION_MS;
 
   override requestRefresh(): void {
     // These tests set the age themselves.
@@ -184,6 +187,26 @@
     ]);
   });
 
+  // Guards against keys that were withdrawn and go on working at a node that has not heard of it.
+  it('accepts and cancels nothing by a configuration in which a key may be withdrawn', async () => {
+    const id = '00000000000000dd';
+    const statuses: unknown[] = [];
+    for (const ageMs of [REVOCATION_MS + 1, REVOCATION_MS]) {
+      configuration.ageMs = ageMs;
+      const submitted = await call('POST', `/a/${id}`, { key: 'good', body: BODY });
+      const cancelled = await call('DELETE', `/a/${id}`, { key: 'good' });
+      statuses.push([submitted.status, cancelled.status]);
+    }
+    configuration.ageMs = REVOCATION_MS + 1;
+    const read = await call('GET', `/a/${id}`, { key: 'good' });
+    configuration.ageMs = 0;
+    assert.deepEqual(statuses, [
+      [503, 503],
+      [200, 200],
+    ]);
+    assert.equal(read.status, 200);
+  });
+
   it('selects the route with the longest prefix and requires no key on a public route', async () => {
     assert.equal((await call('POST', '/a/open/00000000000000bb', { body: BODY })).status, 200);
   });
--- a/packages/node/src/node-configuration.ts
+++ b/packages/node/src/node-configuration.ts
@@ -40,6 +40,10 @@
     return this.#options.getBounds().configurationApplyMs;
   }
 
+  override get revocationMs(): number {
+    return this.#options.getBounds().revocationMs;
+  }
+
   override requestRefresh(): void {
     const now = performance.now();
     // The next read waits for no response, which a silent store owes for longer than the period.
