fix(ingress,node,features): a node that has not heard the store for long is not ready

Callers: new connections went to a node that alone did not hear the store, until their submissions had failed there. Cause: readiness was judged by the outcome of writes and probes. Without a submission none is sent, and what was last known of the store counted at any age. Change: a node is ready only while its configuration is not older than `bounds.revoke_ms`, beyond which it accepts nothing. Each check of readiness has a configuration beyond `bounds.config_apply_ms` read, so that a node is ready again at the first check or the second after the store is back. Why it does not flap: in steady state the age is at most 1.6 s, after one lost poll 3.6 s. With the store away for all nodes all of them stop being ready, as they do already by the first submissions that fail. Unit test: ready at 5,000 ms and not at 5,001 ms of age.

--- a/packages/features/platform.feature
+++ b/packages/features/platform.feature
@@ -54,6 +54,14 @@
     When the store recovers
     Then every node is ready
 
+  # Guards against nodes in rotation that have not heard the store for long and get no request that shows it.
+  Scenario: A node that alone does not hear the store is not ready
+    Given a deployment with 3 nodes and 0 targets whose links to the store carry 1000 kB a second
+    When the first node is cut off from the store
+    Then the first node is not ready and the others are
+    When the first node reaches the store again
+    Then every node is ready
+
   Scenario: Responses of the store are lost
     Given a deployment with 2 nodes and 2 targets
     When the responses of the store are lost for 400 ms
--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -104,8 +104,14 @@
     return this.#inFlight;
   }
 
-  /** Whether submissions can be stored, judged by the outcome of the last writes and probes. */
-  get isStoreReachable(): boolean {
+  /**
+   * Whether submissions can be accepted, judged by the outcome of the last writes and probes and by the
+   * age of the configuration.
+   */
+  get canAccept(): boolean {
+    const { configuration } = this.#options;
+    if (!configuration.canRefuse) configuration.requestRefresh();
+    if (configuration.routes === undefined || !configuration.canAccept) return false;
     return !this.#writer.isCircuitOpen;
   }
 
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -103,9 +103,10 @@
   const owner = new ScriptedOwner();
   const configuration = new SettableConfiguration();
   let server: Server;
+  let handler: IngressHandler;
 
   before(async () => {
-    const handler = new IngressHandler({
+    handler = new IngressHandler({
       store,
       probe: new StoreProbe(store, 'n'),
       logger: new Logger(),
@@ -207,6 +208,15 @@
     assert.equal(read.status, 200);
   });
 
+  it('can accept while its configuration is within the bound of withdrawn keys', () => {
+    const accepts = [0, REVOCATION_MS, REVOCATION_MS + 1].map((ageMs) => {
+      configuration.ageMs = ageMs;
+      return handler.canAccept;
+    });
+    configuration.ageMs = 0;
+    assert.deepEqual(accepts, [true, true, false]);
+  });
+
   it('selects the route with the longest prefix and requires no key on a public route', async () => {
     assert.equal((await call('POST', '/a/open/00000000000000bb', { body: BODY })).status, 200);
   });
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -129,7 +129,8 @@
     });
     callerServer.keepAliveTimeout = KEEP_ALIVE_MS;
     await this.#listeners.listen(readinessEndpoint, (_, response) => {
-      response.writeHead(this.#isReady() ? 200 : 503, { 'content-length': 0 }).end();
+      const isReady = !this.#isStopping && this.#ingress.canAccept;
+      response.writeHead(isReady ? 200 : 503, { 'content-length': 0 }).end();
     });
     const peerServer = await this.#listeners.listen(peerEndpoint, (request, response) => {
       handlePeerCall(request, response, this.#owner);
@@ -268,11 +269,6 @@
       : new HttpAdvice(adviceAddress, this.#httpClient);
   }
 
-  #isReady(): boolean {
-    if (this.#isStopping || this.#operatorFeed.routes === undefined) return false;
-    return this.#ingress.isStoreReachable;
-  }
-
   #createOwnership(settings: NodeSettings): Ownership {
     const { host, port } = settings.peerEndpoint;
     return new Ownership({
