--- a/packages/admission/src/decision.ts
+++ b/packages/admission/src/decision.ts
@@ -57,12 +57,12 @@
   const objectiveMs = route.stretch * pathMs + route.latencyObjectiveMs;
   const team = findTeam(held.evidence, request);
   if (team === undefined || objectiveMs <= 0) return undefined;
-  const waitMs = estimateWaitMs(team, route.priority, now - held.receivedAt);
+  const waitMs = estimateWaitMs(team, route.priority, now - held.computedAt);
   const endMs = waitMs + pathMs;
   const build = (reason: RefusalReason, delayMs: number): Refusal => ({
     reason,
     waitMs,
-    evidenceAgeMs: now - held.receivedAt,
+    evidenceAgeMs: now - held.computedAt,
     retryAfterS: computeRetryAfterS(request.id, delayMs),
   });
   if (submission.steps.some((step) => !isHeldBy(held.evidence.largestTask, step.request)))
--- a/packages/admission/src/evidence.ts
+++ b/packages/admission/src/evidence.ts
@@ -35,12 +35,16 @@
   readonly largestTask: Resources;
   /** Contended pools. */
   readonly pools: readonly PoolEvidence[];
+  /** Owner's monotonic time of the computation in milliseconds; absent from earlier versions. */
+  readonly computedAt?: number;
 }
 
 /** Encodes evidence as rows, since every node receives it several times a second. */
-export function encodeEvidence({ epoch, largestTask, pools }: AdmissionEvidence): unknown {
+export function encodeEvidence(evidence: AdmissionEvidence): unknown {
+  const { epoch, largestTask, pools, computedAt } = evidence;
   return {
     epoch,
+    ...(computedAt === undefined ? {} : { at: Math.round(computedAt) }),
     largest: [largestTask.cpuMillis, largestTask.memoryMb, largestTask.gpus],
     pools: pools.map(({ service, teams }) => [
       service,
@@ -60,14 +64,17 @@
 /** Decodes evidence; the error says which part is malformed. */
 export function decodeEvidence(value: unknown): Result<AdmissionEvidence, string> {
   if (typeof value !== 'object' || value === null) return err('it is no object');
-  const { epoch, largest, pools } = value as Record<string, unknown>;
+  const { epoch, largest, pools, at } = value as Record<string, unknown>;
   if (!isAmount(epoch)) return err('it has no epoch');
+  if (at !== undefined && !isAmount(at)) return err('its time is malformed');
   const amounts = decodeRow(largest, 3);
   if (amounts?.every(isAmount) !== true) return err('it has no largest task');
   const [cpuMillis = 0, memoryMb = 0, gpus = 0] = amounts as number[];
   const decoded = decodeRows(pools, decodePool);
   if (decoded === undefined) return err('a pool is malformed');
-  return ok({ epoch, largestTask: { cpuMillis, memoryMb, gpus }, pools: decoded });
+  const largestTask = { cpuMillis, memoryMb, gpus };
+  const time = at === undefined ? {} : { computedAt: at };
+  return ok({ epoch, largestTask, pools: decoded, ...time });
 }
 
 function decodePool(value: unknown): PoolEvidence | undefined {
--- a/packages/admission/test/evidence.test.ts
+++ b/packages/admission/test/evidence.test.ts
@@ -14,8 +14,10 @@
   const { evidence } = createHeld([createWait(1_200, true), createWait(0, false, 'latgale')]);
 
   it('decodes what was encoded', () => {
-    const text = JSON.stringify(encodeEvidence(evidence));
-    assert.deepEqual(decodeEvidence(JSON.parse(text))._unsafeUnwrap(), evidence);
+    for (const sent of [evidence, { ...evidence, computedAt: 7 }]) {
+      const text = JSON.stringify(encodeEvidence(sent));
+      assert.deepEqual(decodeEvidence(JSON.parse(text))._unsafeUnwrap(), sent);
+    }
   });
 
   it('never throws, whatever it is given', () => {
--- a/packages/admission/test/harness.ts
+++ b/packages/admission/test/harness.ts
@@ -46,11 +46,11 @@
   };
 }
 
-/** Creates evidence of a contended pool that was received at time 0 and expires at 1,000 ms. */
+/** Creates evidence of a contended pool that was computed at time 0 and expires at 1,000 ms. */
 export function createHeld(teams: readonly TeamWait[], epoch = 1): HeldEvidence {
   const largestTask = createResources(64, 131_072);
   const pools = [{ service: ROUTE.service, teams }];
-  return { evidence: { epoch, largestTask, pools }, receivedAt: 0, expiresAt: 1_000 };
+  return { evidence: { epoch, largestTask, pools }, computedAt: 0, expiresAt: 1_000 };
 }
 
 export function createWait(waitMs: number, isBeyondShare = false, team = 'kurzeme'): TeamWait {
--- a/packages/execution/src/admission-publisher.ts
+++ b/packages/execution/src/admission-publisher.ts
@@ -85,7 +85,8 @@
       logger.writeInfo('pool contended', { service, waitMs });
     }
     for (const service of change.ended) logger.writeInfo('pool contended no longer', { service });
-    port.publish({ epoch: term.epoch, largestTask, pools: change.pools });
+    const { now } = this.#context.clock;
+    port.publish({ epoch: term.epoch, largestTask, pools: change.pools, computedAt: now });
   }
 }
 
--- a/packages/execution/test/admission-publisher.test.ts
+++ b/packages/execution/test/admission-publisher.test.ts
@@ -61,7 +61,7 @@
     if (evidence === undefined) return false;
     const { submission } = createStoredJob('id', [{}]);
     const request = { id: 'id', route: ROUTE, team: 'kurzeme', submission, patience: 1 };
-    const held = { evidence, receivedAt: 0, expiresAt: 1 };
+    const held = { evidence, computedAt: 0, expiresAt: 1 };
     return decideAdmission(request, held, 0) !== undefined;
   }
 
