fix(node): gauges name no age of knowledge that a node does not have

Operators: `currantgap_operator_feed_age_seconds` was 0 on a node that had never heard the store, and `currantgap_intake_feed_age_seconds` 0 on nodes that own nothing and on an owner that has not read its jobs, so that the alerts on them could not fire. Cause: "not known" was given as an age of 0; reset() of a gauge without labels sets 0.

--- a/packages/node/src/node-metrics.ts
+++ b/packages/node/src/node-metrics.ts
@@ -113,7 +113,7 @@
     });
     const age = new Gauge({
       name: 'currantgap_operator_feed_age_seconds',
-      help: 'Seconds since the store last said what operators have written',
+      help: 'Seconds since the store last said what operators have written, or since the start',
       registers: [this.registry],
       collect: () => {
         age.set(getFeed().heardMs / MILLISECONDS_PER_SECOND);
@@ -125,11 +125,12 @@
   #registerIntake(getCurrentAt: () => number | undefined): void {
     const age = new Gauge({
       name: 'currantgap_intake_feed_age_seconds',
-      help: 'Seconds since the time up to which the owner knows all accepted submissions',
+      help: 'Seconds since the time up to which the owner knows all accepted submissions; only on the owner',
       registers: [this.registry],
       collect: () => {
         const currentAt = getCurrentAt();
-        if (currentAt === undefined) age.reset();
+        // A reset would leave the value 0.
+        if (currentAt === undefined) age.remove();
         else age.set((performance.now() - currentAt) / MILLISECONDS_PER_SECOND);
       },
     });
--- a/packages/node/src/operator-feed-consumer.ts
+++ b/packages/node/src/operator-feed-consumer.ts
@@ -24,6 +24,8 @@
   readonly #waves = new Map<string, Wave>();
   #evacuated: ReadonlySet<string> = new Set();
   #routes: RouteTable | undefined;
+  /** Monotonic time at which nothing was known yet, in milliseconds. */
+  readonly #startedAt = performance.now();
   /** Monotonic time at which the configuration was last read beside the feed, in milliseconds. */
   #confirmedAt = -Infinity;
 
@@ -65,12 +67,12 @@
   }
 
   /**
-   * Milliseconds since the time up to which all that operators wrote is known; 0 before the first
-   * snapshot.
+   * Milliseconds since the time up to which all that operators wrote is known; since the start before
+   * the first snapshot.
    */
   get heardMs(): number {
     const { currentAt } = this.#consumer;
-    return currentAt === undefined ? 0 : Math.round(performance.now() - currentAt);
+    return Math.round(performance.now() - (currentAt ?? this.#startedAt));
   }
 
   /** Milliseconds since the time up to which the configuration is known to be in force. */
