fix(execution): the status of a wave is written only over the row that is known

Operators: a wave that was `completed` was shown as `running` again, for ever: its owner believed that `completed` still stood and wrote nothing more. Cause: the status was written without a condition. A write without a response may be performed seconds later, and a deposed owner, or a new one that has not read the VM list twice, wrote what it believed over what another had said. Change: the write expects the version of the row that is known, 0 at first. The fence cannot be the condition, since its row is in another part and deployments allow no transaction across parts. Test: a status write that was performed late, and a status of another owner: both ended as running before, both stay completed now.

--- a/packages/execution/src/wave-controller.ts
+++ b/packages/execution/src/wave-controller.ts
@@ -1,7 +1,7 @@
 import { sortDueVms, type DueVm } from '@currantgap/fleet';
 import { VmState, type Vm, type Wave } from '@currantgap/model';
 import { OWNER_PART } from '@currantgap/ownership';
-import type { Row, Store } from '@currantgap/store';
+import { StoreFaultKind, type Row, type Store } from '@currantgap/store';
 import type { OwnerContext } from './context.ts';
 import type { PoolLoad } from './pool-load.ts';
 import type { VmController } from './vm-controller.ts';
@@ -27,6 +27,8 @@
   readonly done: Set<string>;
   /** State that was last reported to operators. */
   reported: WaveState | undefined;
+  /** Version of the status row as last known; 0 if it does not exist. */
+  statusVersion: number;
   reportNotBefore: number;
 }
 
@@ -107,6 +109,7 @@
       startedAt: earlier?.startedAt ?? store.now,
       done: new Set(earlier?.done),
       reported: undefined,
+      statusVersion: 0,
       reportNotBefore: 0,
     };
     this.#waves.set(wave.number, progress);
@@ -187,7 +190,8 @@
    */
   #report(progress: WaveProgress, vms: ReadonlyMap<string, Vm>): void {
     const { context, vmController } = this.#options;
-    const { wave, done, seenAt } = progress;
+    const { wave, done, seenAt, reported } = progress;
+    if (reported === WaveState.Complete) return;
     const remaining = wave.vms.filter((name) => !done.has(name));
     const isInProgress = [...vmController.operations].some(
       ({ plan, phase }) =>
@@ -198,23 +202,43 @@
     if (!isComplete && remaining.some((name) => !vms.has(name))) vmController.requestList();
     const state = isComplete ? WaveState.Complete : WaveState.Running;
     const { now } = context.clock;
-    if (progress.reported === state || now < progress.reportNotBefore) return;
+    if (reported === state || now < progress.reportNotBefore) return;
     progress.reportNotBefore = now + STATUS_RETRY_MS;
     void this.#writeStatus(progress, state);
   }
 
+  /**
+   * Writes the status only over the row that is known, since a write without a response may be performed
+   * later, and another owner may have reported the wave as complete.
+   */
   async #writeStatus(progress: WaveProgress, state: WaveState): Promise<void> {
     const { store, encodeStatus, context } = this.#options;
-    const row = encodeStatus(progress.wave.number, state === WaveState.Complete);
-    const puts = [{ ...row, part: '' }];
-    const result = await store.commit({ conditions: [], puts, removals: [] });
     const wave = progress.wave.number;
-    if (result.isErr()) {
-      context.logger.writeWarning('wave not reported', { wave, reason: result.error.message });
+    const row = { ...encodeStatus(wave, state === WaveState.Complete), part: '' };
+    const conditions = [
+      { table: row.table, part: '', key: row.key, version: progress.statusVersion },
+    ];
+    const result = await store.commit({ conditions, puts: [row], removals: [] });
+    if (result.isOk()) {
+      progress.statusVersion = result.value;
+      progress.reported = state;
+      context.logger.writeInfo('wave reported', { wave, state });
       return;
     }
-    progress.reported = state;
-    context.logger.writeInfo('wave reported', { wave, state });
+    const { kind, message, rows } = result.error;
+    if (kind === StoreFaultKind.Conflict) this.#applyConflict(progress, rows[0]);
+    else context.logger.writeWarning('wave not reported', { wave, reason: message });
+  }
+
+  /** Takes over the status row that a write has found in place of the one that was known. */
+  #applyConflict(progress: WaveProgress, row: Row | undefined): void {
+    const { encodeStatus, context } = this.#options;
+    const wave = progress.wave.number;
+    progress.statusVersion = row?.version ?? 0;
+    progress.reportNotBefore = 0;
+    const isComplete = row?.value === encodeStatus(wave, true).value;
+    if (isComplete) progress.reported = WaveState.Complete;
+    context.logger.writeInfo('wave reported before', { wave, isComplete });
   }
 
   /**
--- a/packages/execution/test/vm-manager.test.ts
+++ b/packages/execution/test/vm-manager.test.ts
@@ -4,7 +4,7 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import type { Vm, Wave } from '@currantgap/model';
 import { OWNER_PART } from '@currantgap/ownership';
-import { waitUntil } from '@currantgap/standins';
+import { StoreFailure, waitUntil } from '@currantgap/standins';
 import type { Row } from '@currantgap/store';
 import { JobLookup } from '../src/job-lookup.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
@@ -209,4 +209,28 @@
     assert.equal(findStatus(setup), 'true');
     manager.stop();
   });
+
+  // Guards against waves that operators see as running for ever after a write was performed late.
+  it('stays completed when an earlier write of its status is performed late', async () => {
+    const setup = await beginWave();
+    const { harness, manager } = setup;
+    harness.store.failure = StoreFailure.Late;
+    await sweep(setup);
+    harness.store.failure = StoreFailure.None;
+    await sweepFor(setup, 2_500);
+    harness.store.applyLateTransactions();
+    await sweepFor(setup, 1_000);
+    assert.equal(findStatus(setup), 'true');
+    manager.stop();
+  });
+
+  it('stays completed if another owner has said so', async () => {
+    const setup = await beginWave();
+    const { harness, manager } = setup;
+    const puts = [{ table: 'status', part: '', key: '2', value: 'true' }];
+    await harness.store.commit({ conditions: [], puts, removals: [] });
+    await sweepFor(setup, 300);
+    assert.equal(findStatus(setup), 'true');
+    manager.stop();
+  });
 });
