--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -6,6 +6,7 @@
 import { EvidenceHolder } from '@currantgap/admission';
 import {
   IngressHandler,
+  KnownConfiguration,
   RequestObserver,
   OwnerLookupFault,
   OwnerPort,
@@ -26,6 +27,10 @@
 setLogSink(() => undefined);
 
 const ID = '00000000000000aa';
+/** Milliseconds within which an accepted configuration must be in force. */
+const APPLY_MS = 2_000;
+/** Milliseconds within which a withdrawn key must stop working. */
+const REVOCATION_MS = 5_000;
 const BODY = JSON.stringify({ spec: 'x', steps: [{ count: 1, cpu: 500, mem_mb: 1 }] });
 
 class SilentObserver extends RequestObserver {
@@ -38,6 +43,17 @@
   }
 }
 
+class SettableConfiguration extends KnownConfiguration {
+  override routes: RouteTable | undefined;
+  override ageMs = 0;
+  override readonly applyMs = APPLY_MS;
+  override readonly revocationMs = REVOCATION_MS;
+
+  override requestRefresh(): void {
+    // These tests set the age themselves.
+  }
+}
+
 class ScriptedOwner extends OwnerPort {
   state: JobState | OwnerLookupFault = OwnerLookupFault.Unreachable;
 
@@ -85,18 +101,18 @@
 describe('IngressHandler', () => {
   const store = new MemoryStore();
   const owner = new ScriptedOwner();
-  let routes: RouteTable | undefined;
+  const configuration = new SettableConfiguration();
   let server: Server;
+  let handler: IngressHandler;
 
   before(async () => {
-    const handler = new IngressHandler({
+    handler = new IngressHandler({
       store,
       probe: new StoreProbe(store, 'n'),
       logger: new Logger(),
       owner,
       observer: new SilentObserver(),
-      getRoutes: () => routes,
-      getRoutesAgeMs: () => 0,
+      configuration,
       evidence: new EvidenceHolder(),
       decodeSubmission,
       deadlineHeader: 'x-deadline-ms',
@@ -131,7 +147,7 @@
   it('answers 503 with retry-after before the first configuration is loaded', async () => {
     const result = await call('POST', `/a/${ID}`, { key: 'good', body: BODY });
     assert.deepEqual([result.status, result.retryAfter], [503, '1']);
-    routes = new RouteTable(CONFIGURATION);
+    configuration.routes = new RouteTable(CONFIGURATION);
   });
 
   it('answers 404 if no route matches and 401 if the key belongs to no team', async () => {
@@ -153,6 +169,54 @@
     assert.deepEqual({ ...context, ...expected }, context);
   });
 
+  // Guards against 401 and 404 by a configuration that a newer one may have replaced (CONFIG).
+  it('answers 503 in place of 401 and 404 once its configuration may be out of date', async () => {
+    const answers: unknown[] = [];
+    for (const ageMs of [APPLY_MS, APPLY_MS + 1]) {
+      configuration.ageMs = ageMs;
+      const unrouted = await call('GET', '/b/', { key: 'good' });
+      const unauthenticated = await call('GET', '/a/', { key: 'bad' });
+      for (const { status, retryAfter } of [unrouted, unauthenticated])
+        answers.push([status, retryAfter]);
+    }
+    configuration.ageMs = 0;
+    assert.deepEqual(answers, [
+      [404, undefined],
+      [401, undefined],
+      [503, '1'],
+      [503, '1'],
+    ]);
+  });
+
+  // Guards against keys that were withdrawn and go on working at a node that has not heard of it.
+  it('accepts and cancels nothing by a configuration in which a key may be withdrawn', async () => {
+    const id = '00000000000000dd';
+    const statuses: unknown[] = [];
+    for (const ageMs of [REVOCATION_MS + 1, REVOCATION_MS]) {
+      configuration.ageMs = ageMs;
+      const submitted = await call('POST', `/a/${id}`, { key: 'good', body: BODY });
+      const cancelled = await call('DELETE', `/a/${id}`, { key: 'good' });
+      statuses.push([submitted.status, cancelled.status]);
+    }
+    configuration.ageMs = REVOCATION_MS + 1;
+    const read = await call('GET', `/a/${id}`, { key: 'good' });
+    configuration.ageMs = 0;
+    assert.deepEqual(statuses, [
+      [503, 503],
+      [200, 200],
+    ]);
+    assert.equal(read.status, 200);
+  });
+
+  it('can accept while its configuration is within the bound of withdrawn keys', () => {
+    const accepts = [0, REVOCATION_MS, REVOCATION_MS + 1].map((ageMs) => {
+      configuration.ageMs = ageMs;
+      return handler.canAccept;
+    });
+    configuration.ageMs = 0;
+    assert.deepEqual(accepts, [true, true, false]);
+  });
+
   it('selects the route with the longest prefix and requires no key on a public route', async () => {
     assert.equal((await call('POST', '/a/open/00000000000000bb', { body: BODY })).status, 200);
   });
--- a/packages/node/src/operator-feed-consumer.ts
+++ b/packages/node/src/operator-feed-consumer.ts
@@ -24,6 +24,10 @@
   readonly #waves = new Map<string, Wave>();
   #evacuated: ReadonlySet<string> = new Set();
   #routes: RouteTable | undefined;
+  /** Monotonic time at which nothing was known yet, in milliseconds. */
+  readonly #startedAt = performance.now();
+  /** Monotonic time at which the configuration was last read beside the feed, in milliseconds. */
+  #confirmedAt = -Infinity;
 
   constructor(store: Store, pageSizer: PageSizer, logger: Logger, onChange: () => void) {
     this.#logger = logger;
@@ -63,12 +67,17 @@
   }
 
   /**
-   * Milliseconds since the time up to which all that operators wrote is known; 0 before the first
-   * snapshot.
+   * Milliseconds since the time up to which all that operators wrote is known; since the start before
+   * the first snapshot.
    */
   get heardMs(): number {
     const { currentAt } = this.#consumer;
-    return currentAt === undefined ? 0 : Math.round(performance.now() - currentAt);
+    return Math.round(performance.now() - (currentAt ?? this.#startedAt));
+  }
+
+  /** Milliseconds since the time up to which the configuration is known to be in force. */
+  get configurationAgeMs(): number {
+    return Math.round(Math.min(this.heardMs, performance.now() - this.#confirmedAt));
   }
 
   /** Current state of everything that operators have written. */
@@ -89,6 +98,16 @@
     this.#consumer.stop();
   }
 
+  /** Records the row of the configuration as it stood in the store at a monotonic time. */
+  recordConfiguration(row: Row, confirmedAt: number): void {
+    const known = this.#routes?.configuration.version;
+    const { version = -1 } = decodeConfiguration(parseJson(row.value)) ?? {};
+    // The feed has brought a newer one while the row was read, or the row cannot be used.
+    if (known === undefined || version < known) return;
+    if (version > known) this.#apply([row], false);
+    this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
+  }
+
   #apply(rows: readonly Row[], isSnapshot: boolean): void {
     const evacuated = new Set(isSnapshot ? [] : this.#evacuated);
     if (isSnapshot) this.#waves.clear();
