fix(execution): a VM order ends the targets of its time, not those that come after it

What callers would see: work waits for the rest of the owner's term although a VM of its pool is up and empty, and the pool's size counts that VM as on its way. Cause: an order without an answer is sent again after 2 s, longer than a move takes (1.5 s). The VM service accepts an order that it has executed already, and the owner then took every target on the VM for ended, also the one that had come since; later registrations of that incarnation are ignored. The same happened when the answer to the first order came after the next target. Change: an operation keeps the targets that its order ends, those known when the order was first sent and the one that the VM list names. A target that came since stays, without work until the VM is listed as up.

--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -95,6 +95,7 @@
       phase: VmPhase.Draining,
       orderedAt: 0,
       isUncertain: false,
+      endingTargets: new Map(),
     });
     const { fleet, logger } = this.#context;
     const targets = fleet.listOnVm(vm);
@@ -202,6 +203,8 @@
     if (!this.#vmOrders.canSendFor(operation.vm)) return;
     operation.phase = VmPhase.Ordered;
     operation.orderedAt = clock.now;
+    // An order that is repeated may have ended the targets of the first one, and others have come.
+    if (!operation.isUncertain) operation.endingTargets = listEndingTargets(vm, targets);
     const { plan } = operation;
     const reports = describeReports(targets, clock.now);
     this.#context.logger.writeInfo('VM order sent', { vm: vm.name, plan: plan.kind, reports });
@@ -210,14 +213,20 @@
     });
   }
 
-  /** Removes the VM's target, which the order ended; the next one to register there is open. */
-  #removeTarget(vm: string): void {
+  /**
+   * Removes the targets that an order has ended. One that has registered since may follow them, or end
+   * too: it gets work once the VM is listed as up.
+   */
+  #removeTargets({ vm, endingTargets }: VmOperation): void {
     const { fleet } = this.#context;
     for (const target of fleet.listOnVm(vm)) {
+      if (!endingTargets.has(target.id)) continue;
+      const bornAt = endingTargets.get(target.id) ?? target.entry.bornAt;
+      if (bornAt !== target.entry.bornAt) continue;
       fleet.terminate(target);
       this.#reportProcessor.recordAllLost(target, LossReason.VmOrdered);
     }
-    fleet.uncordon(vm);
+    if (fleet.listOnVm(vm).length === 0) fleet.uncordon(vm);
   }
 
   /** Stops a persistent task if its disruption budget allows it; it restarts on another target. */
@@ -239,7 +248,7 @@
     switch (outcome) {
       case VmOrderOutcome.Accepted:
         this.#recordUnavailable(operation);
-        this.#removeTarget(vm);
+        this.#removeTargets(operation);
         if (plan.kind === 'maintain') this.#onMaintained(vm, plan.wave);
         return;
       case VmOrderOutcome.Unknown:
@@ -272,6 +281,17 @@
     .join(', ');
 }
 
+/** Lists the targets that an order to a VM ends: those known there, and the one that the list names. */
+function listEndingTargets(
+  { targetId }: Vm,
+  targets: readonly TargetRecord[],
+): ReadonlyMap<string, number | undefined> {
+  const ending = new Map<string, number | undefined>();
+  if (targetId !== undefined) ending.set(targetId, undefined);
+  for (const { id, entry } of targets) ending.set(id, entry.bornAt);
+  return ending;
+}
+
 function countTasks(targets: readonly TargetRecord[]): number {
   return targets.reduce((sum, { assignmentCount }) => sum + assignmentCount, 0);
 }
--- a/packages/execution/src/vm-orders.ts
+++ b/packages/execution/src/vm-orders.ts
@@ -28,6 +28,11 @@
   orderedAt: number;
   /** Whether an order was not answered, so that it may have been executed. */
   isUncertain: boolean;
+  /**
+   * Ids of the targets that the order ends, with the start of their incarnations in Unix milliseconds;
+   * undefined for one that the VM list names and that has not registered.
+   */
+  endingTargets: ReadonlyMap<string, number | undefined>;
 }
 
 /** Sends orders for VMs, but only while no other node can be sending them. */
--- a/packages/execution/test/vm-controller.test.ts
+++ b/packages/execution/test/vm-controller.test.ts
@@ -91,6 +91,38 @@
     log.stop();
   });
 
+  // Guards against room that is never used: the target that follows a move was taken for the one that the
+  // move had ended, and ignored for the rest of the term.
+  for (const { answer, outcomes } of [
+    { answer: 'was lost', outcomes: [VmOrderOutcome.Unknown, VmOrderOutcome.Accepted] },
+    { answer: 'comes late', outcomes: [VmOrderOutcome.Accepted] },
+  ]) {
+    it(`keeps the target that registers after an order whose answer ${answer}`, async () => {
+      const { harness, port, controller, log } = await createController();
+      const moved = harness.addTarget('t1');
+      port.outcomes.push(...outcomes);
+      port.onMove = (): void => {
+        port.vms = [{ ...VM, pool: 'velves', targetId: 't2' }];
+        harness.addTarget('t2', { vm: VM.name, service: 'velves', bornAt: 2 });
+      };
+      controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
+      for (const [index] of outcomes.entries()) {
+        controller.sweep();
+        await waitUntil(() => port.moves.length === index + 1);
+        await flushPromises();
+      }
+      assert.equal(moved.isRegistered, false);
+      const next = harness.fleet.find('t2');
+      assert.equal(next?.isRegistered, true);
+      harness.advance(500);
+      controller.sweep();
+      await flushPromises();
+      assert.equal(controller.findOperation(VM.name), undefined);
+      assert.ok(next.isOpen(harness.now));
+      log.stop();
+    });
+  }
+
   it('gets work again when the plan is abandoned', async () => {
     const { harness, controller, log } = await createController();
     const target = harness.addTarget('t1');
--- a/packages/execution/test/vm-harness.ts
+++ b/packages/execution/test/vm-harness.ts
@@ -26,6 +26,8 @@
   vms: readonly Vm[] = [VM];
   /** Outcomes of the next moves; further ones are accepted. */
   readonly outcomes: VmOrderOutcome[] = [];
+  /** Called when a move is carried out, before it is answered. */
+  onMove: () => void = () => undefined;
 
   async list(): Promise<readonly Vm[]> {
     return Promise.resolve(this.vms);
@@ -33,6 +35,7 @@
 
   async move({ vm }: VmOrder): Promise<VmOrderOutcome> {
     this.moves.push(vm);
+    this.onMove();
     return Promise.resolve(this.outcomes.shift() ?? VmOrderOutcome.Accepted);
   }
 
