fix(execution): a VM whose order to move is not answered gets work once it is in its new pool

Cause: an order without an answer keeps its VM cordoned until the VM service confirms the order, however long the VM has been up in its new pool. Change: a target that was not there when the order was sent, registers in the pool that the VM was ordered to and reports, shows that the order was carried out. The VM counts as up then; the operation ends, as before, with a list of the VMs that was read later, so that no other order is sent before. Evidence: one case of the VM controller against the fake VM service failed before (a second order was sent and the target stayed closed). 190 tests of execution pass.

--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -191,6 +191,10 @@
     const vm = this.#vms.get(operation.vm);
     if (vm === undefined) return;
     const targets = fleet.listOnVm(operation.vm);
+    if (hasArrived(operation, targets)) {
+      this.#recordArrival(operation);
+      return;
+    }
     if (this.findOccupancy(vm) !== VmOccupancy.Empty) {
       if (clock.now > operation.startedAt + DRAIN_TIMEOUT_MS && operation.plan.kind === 'move') {
         this.abandonPlan(operation.vm, 'not drained in time');
@@ -237,6 +241,15 @@
       this.#orders.stop(assignment, 'VM is emptied');
   }
 
+  /** Records that a move was carried out although its order was not answered. */
+  #recordArrival(operation: VmOperation): void {
+    const { vm, plan } = operation;
+    this.#context.logger.writeInfo('VM order carried out', { vm, plan: plan.kind });
+    this.#recordUnavailable(operation);
+    this.#removeTargets(operation);
+    this.#context.fleet.uncordon(vm);
+  }
+
   #recordUnavailable(operation: VmOperation): void {
     operation.phase = VmPhase.Unavailable;
     operation.orderedAt = this.#context.clock.now;
@@ -292,6 +305,21 @@
   return ending;
 }
 
+/** Whether a target that followed an unanswered order to move reports from the VM's new pool. */
+function hasArrived(
+  { plan, isUncertain, orderedAt, endingTargets }: VmOperation,
+  targets: readonly TargetRecord[],
+): boolean {
+  if (!isUncertain || plan.kind !== 'move') return false;
+  return targets.some(
+    ({ id, entry, isRegistered, reportedAt = -Infinity }) =>
+      isRegistered &&
+      entry.service === plan.pool &&
+      reportedAt > orderedAt &&
+      !endingTargets.has(id),
+  );
+}
+
 function countTasks(targets: readonly TargetRecord[]): number {
   return targets.reduce((sum, { assignmentCount }) => sum + assignmentCount, 0);
 }
--- a/packages/execution/test/vm-controller.test.ts
+++ b/packages/execution/test/vm-controller.test.ts
@@ -123,6 +123,26 @@
     });
   }
 
+  // Guards against room that stands idle: a VM got no work until the VM service answered again, although
+  // its target had registered in the pool that it was ordered to.
+  it('gets work from its new pool although its order is never answered', async () => {
+    const { harness, port, controller, log } = await createController();
+    harness.addTarget('t1');
+    port.outcomes.push(...Array.from({ length: 9 }, () => VmOrderOutcome.Unknown));
+    controller.startPlan(VM.name, { kind: 'move', pool: 'velves' });
+    controller.sweep();
+    await waitUntil(() => port.moves.length === 1);
+    await flushPromises();
+    harness.advance(100);
+    const next = harness.addTarget('t2', { vm: VM.name, service: 'velves', bornAt: 2 });
+    controller.sweep();
+    await sleep(60);
+    assert.equal(port.moves.length, 1);
+    assert.ok(next.isOpen(harness.now));
+    assert.equal(harness.fleet.find('t1')?.isRegistered, false);
+    log.stop();
+  });
+
   it('gets work again when the plan is abandoned', async () => {
     const { harness, controller, log } = await createController();
     const target = harness.addTarget('t1');
