fix(node): a configuration read beside the feed is as old as the request of the read

Found on reading again. A response that was 700 ms on its way counted as current when it arrived: the client of the probes has too few readings of the store's clock to tell the delay, and its first one shows none. The time at which the read was requested is never later than what the response shows.

--- a/packages/node/src/node-configuration.ts
+++ b/packages/node/src/node-configuration.ts
@@ -49,10 +49,10 @@
     // The next read waits for no response, which a silent store owes for longer than the period.
     if (now < this.#readNotBefore) return;
     this.#readNotBefore = now + REFRESH_PERIOD_MS;
-    void this.#read();
+    void this.#read(now);
   }
 
-  async #read(): Promise<void> {
+  async #read(requestedAt: number): Promise<void> {
     const { feed, store } = this.#options;
     const page = await store.read({
       table: OPERATOR_TABLE,
@@ -63,6 +63,7 @@
     // The feed has logged that the store does not answer.
     if (page.isErr()) return;
     const row = page.value.rows.find(({ key }) => key === CONFIGURATION_KEY);
-    if (row !== undefined) feed.recordConfiguration(row, page.value.currentAt);
+    // So few readings of the store's clock do not tell how long the response was on its way.
+    if (row !== undefined) feed.recordConfiguration(row, requestedAt);
   }
 }
--- a/packages/node/test/operator-feed-consumer.test.ts
+++ b/packages/node/test/operator-feed-consumer.test.ts
@@ -32,6 +32,8 @@
 class SilenceableClient extends HttpClient {
   readonly store = new MemoryStore();
   isSilent = false;
+  /** Milliseconds that a response is on its way. */
+  delayMs = 0;
 
   constructor() {
     super(1);
@@ -40,6 +42,7 @@
   override async send(options: HttpRequestOptions): Promise<Result<HttpResponse, HttpFault>> {
     const deadline = performance.now() + options.timeoutMs;
     const body = this.isSilent ? undefined : await this.#answer(options);
+    if (this.delayMs > 0) await sleep(this.delayMs);
     if (body !== undefined && !this.isSilent) return ok({ status: 200, body, transferMs: 0 });
     await sleep(deadline - performance.now());
     return err({ message: 'no answer', isUnsent: false });
@@ -68,6 +71,7 @@
         row_version: row.version,
       })),
       row_version: version,
+      now_ms: this.store.now,
     };
   }
 }
@@ -200,5 +204,26 @@
         [6, false],
       ]);
     });
+
+    // Guards against a slow response that counts as current when it arrives.
+    it('is as old as the request of the read that has confirmed it', async () => {
+      const client = new SilenceableClient();
+      const store = new HttpStore(() => 'store:1', client);
+      const feed = new OperatorFeedConsumer(store, new PageSizer(1_000), new Logger(), () => {
+        // Nothing depends on the change here.
+      });
+      await client.configure(1);
+      void feed.run();
+      await time.run(2_000, () => feed.routes !== undefined);
+      feed.stop();
+      await time.run(10_000);
+      const getBounds = () => ({ configurationApplyMs: APPLY_MS }) as NodeBounds;
+      client.delayMs = 700;
+      const reader = new HttpStore(() => 'store:1', client);
+      new NodeConfiguration({ feed, store: reader, getBounds }).requestRefresh();
+      await time.run(750);
+      assert.ok(feed.configurationAgeMs >= 700, `${feed.configurationAgeMs} ms`);
+      assert.ok(feed.configurationAgeMs <= APPLY_MS, `${feed.configurationAgeMs} ms`);
+    });
   });
 });
