--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -80,6 +80,10 @@
   #sentAt = 0;
   /** Monotonic time up to which the feed was consumed without a gap, in milliseconds. */
   #consumedAt = -Infinity;
+  /** Reads of the present version that failed. */
+  #failedReads = 0;
+  /** Version up to which all changes were part of the last snapshot. */
+  #scannedVersion = -Infinity;
   /** Monotonic time at which the last scan began, in milliseconds. */
   #scannedFrom = 0;
   #currentAt: number | undefined;
@@ -88,7 +92,8 @@
     this.#options = options;
     this.#rescan = new FeedRescan({
       scan: async () => this.#scan(),
-      onRead: (rows, gapAt) => {
+      onRead: ({ rows, version }, gapAt) => {
+        this.#scannedVersion = version;
         options.onRows(rows, true);
         this.#recordCurrent(gapAt ?? this.#consumedAt);
         const tookMs = performance.now() - this.#scannedFrom;
@@ -156,9 +161,14 @@
   /** Goes on from the store's present version; what was missed before it is read beside the feed. */
   async #beginAnew(): Promise<boolean> {
     const { store, table, parts } = this.#options;
-    const page = await store.read({ table, part: parts[0] ?? '', from: LAST_KEY, limit: 1 });
+    const part = parts[this.#failedReads % parts.length] ?? '';
+    const page = await store.read({ table, part, from: LAST_KEY, limit: 1 });
     if (this.#isStopped) return true;
-    if (page.isErr()) return this.#recordFailure(page.error);
+    if (page.isErr()) {
+      // The store may be down for one part only.
+      this.#failedReads += 1;
+      return this.#recordFailure(page.error);
+    }
     this.#recordSuccess();
     this.#rescan.request(this.#consumedAt);
     this.#version = page.value.version;
@@ -179,7 +189,10 @@
     this.#isBehind = false;
     this.#version = Math.max(version, page.value.version);
     this.#consumedAt = Math.max(this.#consumedAt, page.value.currentAt);
-    const rows = page.value.rows.filter((row) => parts.includes(row.part));
+    // A page that was sent before the last scan may follow it.
+    const rows = page.value.rows.filter(
+      (row) => parts.includes(row.part) && row.version > this.#scannedVersion,
+    );
     this.#rescan.record(rows);
     if (rows.length > 0) this.#options.onRows(rows, false);
     if (!this.#rescan.isRunning) this.#recordCurrent(this.#consumedAt);
--- a/packages/store/src/feed-rescan.ts
+++ b/packages/store/src/feed-rescan.ts
@@ -6,10 +6,11 @@
   /** Reads all rows; undefined if they are no longer wanted. */
   readonly scan: () => Promise<ScanResult | undefined>;
   /**
-   * Receives all rows, as new as the feed. `gapAt` is set if changes were missed again while the rows
-   * were read: the monotonic time in milliseconds up to which the feed was complete before that.
+   * Receives all rows, as new as the feed, and the version that each of them was read at or after.
+   * `gapAt` is set if changes were missed again while the rows were read: the monotonic time in
+   * milliseconds up to which the feed was complete before that.
    */
-  readonly onRead: (rows: readonly Row[], gapAt: number | undefined) => void;
+  readonly onRead: (snapshot: ScanResult, gapAt: number | undefined) => void;
 }
 
 /**
@@ -50,18 +51,19 @@
     while (this.#isRunning) {
       const result = await this.#options.scan();
       if (result === undefined) return;
-      const rows = this.#collectNewest(result.rows);
+      const rows = this.#collectNewest(result);
       const gapAt = this.#gapAt;
       this.#isRunning = gapAt !== undefined;
       this.#gapAt = undefined;
       this.#changed.clear();
-      this.#options.onRead(rows, gapAt);
+      this.#options.onRead({ ...result, rows }, gapAt);
     }
   }
 
   /** Collects the rows of the scan and those that the feed has brought, and of each the newer version. */
-  #collectNewest(scanned: readonly Row[]): Row[] {
-    const changed = new Map(this.#changed);
+  #collectNewest({ rows: scanned, version }: ScanResult): Row[] {
+    // All pages show what had changed up to the version, also what was deleted.
+    const changed = new Map([...this.#changed].filter(([, row]) => row.version > version));
     const rows: Row[] = [];
     for (const row of scanned) {
       const id = getRowId(row);
--- a/packages/store/test/feed-consumer.test.ts
+++ b/packages/store/test/feed-consumer.test.ts
@@ -36,7 +36,11 @@
 /** A store whose reads of rows are answered only when the test says so. */
 class HeldStore extends MemoryStore {
   isHeld = false;
-  readonly held: (() => void)[] = [];
+  /** Answers a read that is held, with another page if one is given. */
+  readonly held: ((page?: Result<RangePage, StoreFault>) => void)[] = [];
+  isPollHeld = false;
+  /** Answers a poll with rows that is held. */
+  readonly heldPolls: (() => void)[] = [];
   /** Reads that return only the version. */
   versionReads = 0;
 
@@ -44,7 +48,18 @@
     const page = await super.read(query);
     if (query.from !== '') this.versionReads += 1;
     if (this.isHeld && query.from === '') {
-      await new Promise<void>((resolve) => this.held.push(resolve));
+      const other = await new Promise<Result<RangePage, StoreFault> | undefined>((resolve) =>
+        this.held.push(resolve),
+      );
+      return other ?? page;
+    }
+    return page;
+  }
+
+  override async poll(query: FeedQuery): Promise<Result<FeedPage, StoreFault>> {
+    const page = await super.poll(query);
+    if (this.isPollHeld && page.isOk() && page.value.rows.length > 0) {
+      await new Promise<void>((resolve) => this.heldPolls.push(resolve));
     }
     return page;
   }
@@ -138,6 +153,47 @@
         [...current].sort((left, right) => left - right),
       );
     });
+
+    // Guards against an entry that flaps: what a scan has read newer is not undone by a page sent before it.
+    it('passes on no row that the snapshot before it holds newer, or as deleted', async (context) => {
+      const store = new HeldStore();
+      await put(store, 'a');
+      const seen: string[] = [];
+      const consumer = new FeedConsumer({
+        table: ROW.table,
+        parts: [ROW.part],
+        store,
+        pageSizer: new PageSizer(1_000),
+        pauseMs: PAUSE_MS,
+        onRows: (rows) => seen.push(...rows.map(({ key, value }) => `${key}=${value}`)),
+      });
+      context.after(() => {
+        consumer.stop();
+      });
+      void consumer.run();
+      await waitUntil(() => seen.length === 1);
+      store.isHeld = true;
+      store.isPollHeld = true;
+      await put(store, 'missed');
+      store.dropHistory();
+      await waitUntil(() => store.held.length === 1);
+      const puts = [{ ...ROW, key: 'a', value: 'old' }];
+      await store.commit({ conditions: [], puts, removals: [] });
+      await waitUntil(() => store.heldPolls.length === 1);
+      await store.commit({
+        conditions: [],
+        puts: [{ ...ROW, key: 'a', value: 'new' }],
+        removals: [],
+      });
+      store.isHeld = false;
+      store.held.shift()?.(await store.read({ ...ROW, from: '' }));
+      await waitUntil(() => seen.includes('a=new'));
+      store.isPollHeld = false;
+      store.heldPolls.shift()?.();
+      await put(store, 'end');
+      await waitUntil(() => seen.includes('end=end'));
+      assert.ok(!seen.includes('a=old'));
+    });
   });
 
   it('delivers a snapshot, then changes, and a new snapshot when the feed history is lost', async () => {
