--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -142,12 +142,12 @@
     if (assignment === undefined) return undefined;
     const { attempt, task } = assignment;
     attempt.isListed = true;
+    task.step.job.hasStarted = true;
     attempt.percent = running.percent;
     attempt.reading = running.reading;
     task.recordCheckpoint(running.checkpoint, attempt);
     if (attempt.phase === AttemptPhase.Starting || attempt.phase === AttemptPhase.Uncertain) {
       attempt.phase = AttemptPhase.Running;
-      task.step.job.hasStarted = true;
       // If a stop was sent to resolve the unanswered start, it may still end this run.
     }
     if (attempt.phase === AttemptPhase.Stopping) this.#orders.stop(assignment, 'repeated');
@@ -168,7 +168,6 @@
     const attempt = buildAttempt(target, running.run, AttemptPhase.Running, clock.now);
     attempt.readyNotBefore = clock.now + bounds.stopMs;
     fleet.assign(target, task, attempt);
-    task.step.job.hasStarted = true;
     logger.writeInfo('run adopted', {
       request: task.step.job.id,
       task: task.name,
@@ -188,7 +187,8 @@
     const { job } = task.step;
     task.recordCheckpoint(ended.checkpoint, assignment?.attempt);
     task.endedAt = now;
-    job.hasStarted = true;
+    // A target may also list the stop of a run that it never began.
+    if (ended.kind !== EndKind.Stopped) job.hasStarted = true;
     const route = active.get(job.id)?.route;
     const maximumAttempts = getMaximumAttempts(route);
     const effect = job.applyRunEnd(task, ended.run, ended.kind, maximumAttempts);
--- a/packages/execution/test/report-processor.test.ts
+++ b/packages/execution/test/report-processor.test.ts
@@ -85,6 +85,14 @@
       assert.equal(job.state, JobState.Completed);
       assert.ok(job.hasStarted, 'a run that has ended had begun');
     });
+
+    it('does not take a job as begun whose run was stopped, perhaps before it began', () => {
+      const parts = createParts();
+      const job = parts.harness.addJob('0000000000000002', [{}], true);
+      const ended = [createEnded(4, '0000000000000002.0.0.0', 3, EndKind.Stopped)];
+      parts.reportProcessor.apply(parts.target, createReport({ ended }), parts.harness.now);
+      assert.equal(job.hasStarted, false);
+    });
   });
 
   describe('with an active run', () => {
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -21,7 +21,7 @@
   readonly occurrences = new Map<number, Occurrence>();
   readonly doneOccurrences = new Set<number>();
   state = JobState.Pending;
-  /** Whether a start of one of its tasks was ordered, in this or an earlier term. */
+  /** Whether one of its tasks is known to have begun, in this or an earlier term. */
   hasStarted = false;
   /** Version of the job's row in the ledger; 0 if there is none. */
   ledgerVersion = 0;
