fix(execution): no task is too large for VMs that are not known yet

What callers saw: 429 with a Retry-After of a minute for a task that only a VM of the spare pool can hold, from a new owner to which the VM service had not listed the VMs (found in the audit of answers; read in the code, no play).

Cause: before the first VM list of a term only the registered targets counted.

Change: until then any task may fit; with a list, or without a VM service, as before.

--- a/packages/execution/src/admission-publisher.ts
+++ b/packages/execution/src/admission-publisher.ts
@@ -37,7 +37,7 @@
 export class AdmissionPublisher {
   readonly #context: OwnerContext;
   readonly #port: AdmissionPort | undefined;
-  readonly #listVms: () => Iterable<PlacedVm>;
+  readonly #listVms: () => Iterable<PlacedVm> | undefined;
   readonly #tracker = new ContentionTracker();
   readonly #growth = new GrowthMeter();
   #nextAt = 0;
@@ -45,7 +45,7 @@
   constructor(
     context: OwnerContext,
     port: AdmissionPort | undefined,
-    listVms: () => Iterable<PlacedVm>,
+    listVms: () => Iterable<PlacedVm> | undefined,
   ) {
     this.#context = context;
     this.#port = port;
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -117,7 +117,8 @@
       new AdmissionPublisher(
         this.#context,
         options.admissionPort,
-        () => this.#vmManager?.listVms() ?? [],
+        // Without a VM service, the registered targets are all that there is.
+        () => (this.#vmManager === undefined ? [] : this.#vmManager.listVms()),
       ),
     ];
     this.#intake = new Intake({
--- a/packages/execution/src/pool-supply.ts
+++ b/packages/execution/src/pool-supply.ts
@@ -2,6 +2,13 @@
 import { ResourceSum } from '@currantgap/scheduling';
 import type { OwnerContext } from './context.ts';
 
+/** More of each resource than any task requests. */
+const UNLIMITED: Resources = {
+  cpuMillis: Number.MAX_SAFE_INTEGER,
+  memoryMb: Number.MAX_SAFE_INTEGER,
+  gpus: Number.MAX_SAFE_INTEGER,
+};
+
 /** A VM and the pool that it belongs to, or is on its way to. */
 export interface PlacedVm {
   readonly vm: Vm;
@@ -20,8 +27,14 @@
   readonly largestTask: Resources;
 }
 
-/** Computes which capacity the fleet could bring into its pools. */
-export function computePoolSupply(context: OwnerContext, vms: Iterable<PlacedVm>): PoolSupply {
+/**
+ * Computes which capacity the fleet could bring into its pools. While the VMs are not known (`vms` is
+ * undefined), any task may fit on one of them.
+ */
+export function computePoolSupply(
+  context: OwnerContext,
+  vms: Iterable<PlacedVm> | undefined,
+): PoolSupply {
   const { fleet, getOperatorView } = context;
   const services = getOperatorView().configuration?.services ?? [];
   const sparePools = new Set(services.filter(({ isSpare }) => isSpare).map(({ name }) => name));
@@ -29,7 +42,7 @@
   const unused = new Map<string, ResourceSum>();
   const spare = new ResourceSum();
   const largestTask = new ResourceSum();
-  for (const { vm, pool } of vms) {
+  for (const { vm, pool } of vms ?? []) {
     updateLargest(largestTask, vm.capacity);
     if (vm.state === VmState.Down) continue;
     if (sparePools.has(pool)) {
@@ -49,7 +62,7 @@
     sum.add(target.capacity);
     sum.remove(target.used);
   }
-  return { incoming, spare, unused, largestTask };
+  return { incoming, spare, unused, largestTask: vms === undefined ? UNLIMITED : largestTask };
 }
 
 /** Gets the total of a group, creating it if needed. */
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -6,6 +6,7 @@
 import { VmOrderOutcome, type VmPort } from './ports.ts';
 import { LossReason, type ReportProcessor } from './report-processor.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
+import { hasArrived, listEndingTargets } from './vm-arrival.ts';
 import { findOccupancy, VmOccupancy } from './vm-occupancy.ts';
 import { VmPhase, type VmOperation, type VmOrders, type VmPlan } from './vm-orders.ts';
 
@@ -90,6 +91,11 @@
     return !this.#vms.has(vm) && !previous.names.has(vm);
   }
 
+  /** Whether the VM service has listed the VMs in this term. */
+  get isListed(): boolean {
+    return this.#isListed;
+  }
+
   /** Has the next list read soon. */
   requestList(): void {
     this.#isListRequested = true;
@@ -318,32 +324,6 @@
     .join(', ');
 }
 
-/** Lists the targets that an order to a VM ends: those known there, and the one that the list names. */
-function listEndingTargets(
-  { targetId }: Vm,
-  targets: readonly TargetRecord[],
-): ReadonlyMap<string, number | undefined> {
-  const ending = new Map<string, number | undefined>();
-  if (targetId !== undefined) ending.set(targetId, undefined);
-  for (const { id, entry } of targets) ending.set(id, entry.bornAt);
-  return ending;
-}
-
-/** Whether a target that followed an unanswered order to move reports from the VM's new pool. */
-function hasArrived(
-  { plan, isUncertain, orderedAt, endingTargets }: VmOperation,
-  targets: readonly TargetRecord[],
-): boolean {
-  if (!isUncertain || plan.kind !== 'move') return false;
-  return targets.some(
-    ({ id, entry, isRegistered, reportedAt = -Infinity }) =>
-      isRegistered &&
-      entry.service === plan.pool &&
-      reportedAt > orderedAt &&
-      !endingTargets.has(id),
-  );
-}
-
 function countTasks(targets: readonly TargetRecord[]): number {
   return targets.reduce((sum, { assignmentCount }) => sum + assignmentCount, 0);
 }
--- a/packages/execution/src/vm-manager.ts
+++ b/packages/execution/src/vm-manager.ts
@@ -63,8 +63,12 @@
     this.#isLoaded = true;
   }
 
-  /** Lists the VMs with their pools, without those that are being maintained. */
-  listVms(): PlacedVm[] {
+  /**
+   * Lists the VMs with their pools, without those that are being maintained; undefined until the VM
+   * service has listed them.
+   */
+  listVms(): PlacedVm[] | undefined {
+    if (!this.#vmController.isListed) return undefined;
     const placed: PlacedVm[] = [];
     for (const vm of this.#vmController.vms) {
       const plan = this.#vmController.findOperation(vm.name)?.plan;
--- a/packages/execution/test/admission-publisher.test.ts
+++ b/packages/execution/test/admission-publisher.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { decideAdmission, type AdmissionEvidence } from '@currantgap/admission';
+import {
+  decideAdmission,
+  decodeEvidence,
+  encodeEvidence,
+  type AdmissionEvidence,
+} from '@currantgap/admission';
 import { VmState, type Vm } from '@currantgap/model';
 import { AdmissionPort, AdmissionPublisher, type PoolGauges } from '../src/admission-publisher.ts';
 import type { PlacedVm } from '../src/pool-supply.ts';
@@ -83,6 +88,18 @@
     assert.deepEqual(port.published[1]?.pools, []);
   });
 
+  // Guards against tasks for a VM of the spare pool that are refused as too large before the VMs are listed.
+  it('takes no task for too large while the VMs are not known', () => {
+    const { harness, port } = createOverload(40);
+    const publisher = new AdmissionPublisher(harness.context, port, () => undefined);
+    harness.advance(PERIOD_MS);
+    publisher.sweep();
+    const [evidence] = port.published;
+    assert.ok(evidence);
+    assert.ok(evidence.largestTask.cpuMillis > 1_000 * CORE);
+    assert.ok(decodeEvidence(JSON.parse(JSON.stringify(encodeEvidence(evidence)))).isOk());
+  });
+
   it('publishes at most once a period', () => {
     const { port, publisher, sweep } = createOverload(40);
     sweep();
