fix(standins): a target repeats its registration until the store has accepted it

Cause: a stand-in target wrote its registration row once and ignored the result. A target that opens while the store is silent or down was never registered. Change: the write is repeated every 500 ms until it is accepted.

--- a/packages/standins/src/platform/standin-target.ts
+++ b/packages/standins/src/platform/standin-target.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { readText, sendJson, StandinServer } from '../http-server.ts';
 import type { MemoryStore } from '../memory-store.ts';
 import type { RunHistory, RunRecord } from './run-history.ts';
@@ -38,6 +39,7 @@
 type WireBody = Readonly<Record<string, string | number | undefined>>;
 
 const POLL_MS = 10;
+const REGISTRATION_RETRY_MS = 500;
 const LATE_START_DELAY_MS = 1_500;
 const FAILED_RUN_MS = 20;
 const CPU_MILLIS = 8_000;
@@ -74,7 +76,7 @@
   /** Starts listening, writes the registration row and starts to watch the lease. */
   async open(): Promise<void> {
     await this.listen();
-    this.#register();
+    void this.#register();
     this.#timers.push(
       setInterval(() => {
         if (this.#clockMs > this.#leaseExpiresAt) this.#endAll('lapsed');
@@ -216,8 +218,8 @@
     for (const task of [...this.#activeRuns.keys()]) this.#end(task, endKind);
   }
 
-  /** Writes the registration row once. Heartbeats would only wake the change feed consumers. */
-  #register(): void {
+  /** Writes the registration row. Heartbeats would only wake the change feed consumers. */
+  async #register(): Promise<void> {
     const registration = {
       service: this.#service,
       address: this.address,
@@ -232,6 +234,8 @@
       born: this.#bornAt,
     };
     const put = { table: 'servers', part: '', key: this.id, value: JSON.stringify(registration) };
-    void this.#store.commit({ conditions: [], puts: [put], removals: [] });
+    const transaction = { conditions: [], puts: [put], removals: [] };
+    while ((await this.#store.commit(transaction)).isErr())
+      await sleep(REGISTRATION_RETRY_MS, undefined, { ref: false });
   }
 }
