test(soak,standins): answers, series of signals and changes, large deployments, narrow links

Before, the soak checked runs and final states only, with 2 to 4 nodes and single failures.

Callers keep connections open and ask each node until its process is gone: for counts, states, and routes and keys that configurations add and remove. Failures come in series of up to three, beside SIGHUP, configurations and dropped history; one seed in ten has 40 nodes; some seeds have links to the store of 25 kB/s, some register their targets late so that work waits. Checked: a count is not below half of what has waited for 5 s; no 410 for an accepted submission; no 404 or 401 for a route or key that is configured for 2 s; no request cut 200 ms after it was sent, but by SIGKILL or a pause.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,2 +1,3 @@
+export * from './answers.ts';
 export * from './plan.ts';
 export * from './invariants.ts';
--- a/packages/soak/src/invariants.ts
+++ b/packages/soak/src/invariants.ts
@@ -7,6 +7,10 @@
   readonly taskCounts: readonly number[];
   /** Whether the caller gave up after a response that guarantees that the submission never runs. */
   readonly isRefused: boolean;
+  /** Monotonic time in milliseconds at which it was accepted; undefined if it was not. */
+  readonly acceptedAt: number | undefined;
+  /** Monotonic time in milliseconds at which a cancel was first sent; undefined without one. */
+  readonly cancelSentAt: number | undefined;
   /** Monotonic time in milliseconds at which a cancel was acknowledged; undefined without one. */
   readonly cancelledAt: number | undefined;
   /** Last state that a node reported; undefined if none did. */
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -16,13 +16,19 @@
 let failedSeeds = 0;
 for (let seed = firstSeed; seed <= lastSeed; seed += 1) {
   const plan = drawPlan(seed);
-  const { violations, acceptedCount } = await new Soak(plan, [process.execPath, bundle]).run();
-  const failures = plan.failures.map(({ component, kind }) => `${component} ${kind}`).join(', ');
+  const soak = new Soak(plan, [process.execPath, bundle]);
+  const { violations, acceptedCount, logDirectory } = await soak.run();
+  const failures = plan.failures.map(
+    ({ component, kind, repeats }) => `${component} ${kind} x${repeats}`,
+  );
+  if (plan.bytesPerSecond !== Infinity) failures.unshift('narrow links');
+  if (plan.targetsOpenAtMs > 0) failures.unshift('late targets');
   const verdict = violations.length === 0 ? 'passed' : 'FAILED';
   process.stdout.write(
-    `seed ${seed}: ${verdict}, ${acceptedCount} accepted, ${plan.nodes} nodes; ${failures}\n`,
+    `seed ${seed}: ${verdict}, ${acceptedCount} accepted, ${plan.nodes} nodes; ${failures.join(', ')}\n`,
   );
   for (const violation of violations) process.stdout.write(`  ${violation}\n`);
+  if (violations.length > 0) process.stdout.write(`  logs: ${logDirectory}\n`);
   if (violations.length > 0) failedSeeds += 1;
 }
 process.stdout.write(
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -15,6 +15,16 @@
   ResponseLoss = 'deaf',
   /** Resets the node's connections to the store. */
   Reset = 'reset',
+  /** Changes the settings file and sends SIGHUP. */
+  Hangup = 'hangup',
+}
+
+/** Changes that are no failures. */
+export enum PlannedChange {
+  /** A new configuration adds a route and a key, and removes older ones. */
+  Configuration = 'configuration',
+  /** The store drops its history. */
+  HistoryDrop = 'history drop',
 }
 
 /** Nodes into which a failure is injected. */
@@ -29,7 +39,10 @@
   /** Milliseconds from the start of the first submission to the start of the failure. */
   readonly startOffsetMs: number;
   readonly durationMs: number;
+  /** How often the failure occurs in a row. */
+  readonly repeats: number;
 } & (
+  | { readonly component: 'change'; readonly kind: PlannedChange }
   | {
       readonly component: 'node';
       readonly kind: NodeFailure;
@@ -46,12 +59,23 @@
   readonly targets: number;
   /** Milliseconds during which callers send new submissions. */
   readonly submissionPeriodMs: number;
+  /** Bytes per second that the store sends to each node. */
+  readonly bytesPerSecond: number;
+  /** Milliseconds from the first submission until the targets register, so that work piles up. */
+  readonly targetsOpenAtMs: number;
   readonly failures: readonly InjectedFailure[];
 }
 
-const SUBMISSION_PERIOD_MS = 6_000;
+const SUBMISSION_PERIOD_MS = 8_000;
 const MINIMUM_NODES = 2;
 const MAXIMUM_NODES = 4;
+/** One seed in this many runs a large deployment. */
+const LARGE_SEED_INTERVAL = 10;
+const LARGE_NODES = 40;
+const MAXIMUM_REPEATS = 3;
+const NARROW_SHARE = 0.25;
+const NARROW_BYTES_PER_SECOND = 25_000;
+const LATE_TARGETS_SHARE = 0.3;
 const MINIMUM_TARGETS = 2;
 const MAXIMUM_TARGETS = 5;
 const MINIMUM_FAILURES = 2;
@@ -87,17 +111,27 @@
       earliestStartMs + random.drawInteger(SUBMISSION_PERIOD_MS / count),
       SUBMISSION_PERIOD_MS,
     );
-    failures.push({ startOffsetMs, durationMs, ...drawVariant(random, targets) });
+    const repeats = drawBetween(random, 1, MAXIMUM_REPEATS);
+    failures.push({ startOffsetMs, durationMs, repeats, ...drawVariant(random, targets) });
     earliestStartMs =
       random.drawFraction() < OVERLAP_SHARE ? startOffsetMs : startOffsetMs + durationMs;
   }
-  const nodes = drawBetween(random, MINIMUM_NODES, MAXIMUM_NODES);
-  return { seed, nodes, targets, submissionPeriodMs: SUBMISSION_PERIOD_MS, failures };
+  const isLarge = seed % LARGE_SEED_INTERVAL === 0;
+  const isNarrow = random.drawFraction() < NARROW_SHARE && !isLarge;
+  return {
+    seed,
+    nodes: isLarge ? LARGE_NODES : drawBetween(random, MINIMUM_NODES, MAXIMUM_NODES),
+    targets,
+    submissionPeriodMs: SUBMISSION_PERIOD_MS,
+    bytesPerSecond: isNarrow ? NARROW_BYTES_PER_SECOND : Infinity,
+    targetsOpenAtMs: random.drawFraction() < LATE_TARGETS_SHARE ? SUBMISSION_PERIOD_MS : 0,
+    failures,
+  };
 }
 
 type FailureVariant = InjectedFailure extends infer T
   ? T extends InjectedFailure
-    ? Omit<T, 'startOffsetMs' | 'durationMs'>
+    ? Omit<T, 'startOffsetMs' | 'durationMs' | 'repeats'>
     : never
   : never;
 
@@ -111,6 +145,8 @@
       index: random.drawInteger(targets),
     };
   }
+  if (draw < 0.5)
+    return { component: 'change', kind: choose(random, Object.values(PlannedChange)) };
   const kind = choose(random, Object.values(NodeFailure));
   return { component: 'node', kind, affectedNodes: choose(random, Object.values(AffectedNodes)) };
 }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -7,10 +7,18 @@
   StoreFailure,
   StoreProxy,
   type NodeProcess,
+  type SubmissionResponse,
 } from '@currantgap/standins';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { findWrongAnswers, STORE, type Answer, type Disturbance } from './answers.ts';
 import { findViolations, type SubmissionRecord } from './invariants.ts';
-import { AffectedNodes, NodeFailure, type InjectedFailure, type SoakPlan } from './plan.ts';
+import {
+  AffectedNodes,
+  NodeFailure,
+  PlannedChange,
+  type InjectedFailure,
+  type SoakPlan,
+} from './plan.ts';
 
 /** Milliseconds between submissions. */
 const SUBMISSION_INTERVAL_MS = 120;
@@ -23,7 +31,19 @@
 /** Milliseconds after the last failure within which every accepted submission must end. */
 const COMPLETION_TIMEOUT_MS = 15_000;
 const POLL_MS = 100;
+/** Milliseconds between the requests of all probers together. */
+const PROBE_INTERVAL_MS = 20;
+/** Milliseconds between SIGTERM and SIGKILL, as in the nodes' settings. */
+const GRACE_MS = 6_000;
+/** Milliseconds after its start within which a process may not handle SIGHUP yet. */
+const STARTUP_MS = 3_000;
+/** Milliseconds after its acknowledgement by which a configuration is applied. */
+const CONFIGURATION_APPLY_MS = 2_000;
+/** Number of configurations that have the route and the key that the first of them adds. */
+const CONFIGURED_CHANGES = 3;
 const TASK_CPU_MILLIS = 1_000;
+/** Makes submissions as large as usual, so that reading all of them takes time on a narrow link. */
+const SPEC_PADDING = 'x'.repeat(1_000);
 const MINIMUM_TASK_MS = 50;
 const MAXIMUM_TASK_MS = 700;
 const HTTP_OK = 200;
@@ -41,12 +61,18 @@
   readonly #deployment: StandinDeployment;
   readonly #proxies = new Map<string, StoreProxy>();
   readonly #submissions: MutableSubmissionRecord[] = [];
+  readonly #answers: Answer[] = [];
+  readonly #disturbances: Disturbance[] = [];
+  /** The changes of the configuration; each adds a route and a key that are named by its index. */
+  readonly #changes: { acknowledgedAt: number }[] = [];
+  #isDone = false;
 
   /** `command` is the program that runs the product, followed by its arguments. */
   constructor(plan: SoakPlan, command: readonly string[]) {
     this.#plan = plan;
     this.#random = new Random(plan.seed + 1);
-    const { nodes, targets } = plan;
+    const { nodes } = plan;
+    const targets = plan.targetsOpenAtMs === 0 ? plan.targets : 0;
     const openStoreProxy = async (node: string, address: string): Promise<string> => {
       const proxy = new StoreProxy(address);
       this.#proxies.set(node, proxy);
@@ -56,24 +82,81 @@
   }
 
   /** Runs the plan; returns a line per violated invariant and the count of accepted submissions. */
-  async run(): Promise<{ violations: string[]; acceptedCount: number }> {
+  async run(): Promise<{ violations: string[]; acceptedCount: number; logDirectory: string }> {
     try {
       await this.#deployment.start();
+      for (const proxy of this.#proxies.values()) proxy.bytesPerSecond = this.#plan.bytesPerSecond;
+      const probers = this.#deployment.nodes.map(async (node) => this.#runProber(node));
       const failures = this.#plan.failures.map(async (failure) => this.#injectFailure(failure));
-      await Promise.all([this.#runCallers(), ...failures]);
+      await Promise.all([this.#runCallers(), this.#openLateTargets(), ...failures]);
       await this.#waitForCompletion();
-      const submissions: readonly SubmissionRecord[] = this.#submissions;
-      const acceptedCount = submissions.filter(({ isRefused }) => !isRefused).length;
-      return {
-        violations: findViolations(submissions, this.#deployment.runHistory),
-        acceptedCount,
-      };
+      this.#isDone = true;
+      await Promise.all(probers);
+      const acceptedCount = this.#submissions.filter(({ isRefused }) => !isRefused).length;
+      const logDirectory = this.#deployment.directory;
+      return { violations: this.#findViolations(), acceptedCount, logDirectory };
     } finally {
       await this.#deployment.close();
       for (const proxy of this.#proxies.values()) proxy.close();
     }
   }
 
+  #findViolations(): string[] {
+    const { nodes, runHistory } = this.#deployment;
+    const submissions: readonly SubmissionRecord[] = this.#submissions;
+    const observations = { submissions, runHistory, disturbances: this.#disturbances };
+    const ended = nodes.filter(({ isRunning }) => !isRunning);
+    return [
+      ...ended.map(({ options }) => `${options.name} ended by itself`),
+      ...findViolations(submissions, runHistory),
+      ...findWrongAnswers(this.#answers, observations),
+    ];
+  }
+
+  async #openLateTargets(): Promise<void> {
+    if (this.#plan.targetsOpenAtMs === 0) return;
+    await sleep(this.#plan.targetsOpenAtMs);
+    await this.#deployment.openTargets(this.#plan.targets);
+  }
+
+  /** Sends counts and requests for states to one node on open connections while it runs. */
+  async #runProber(node: NodeProcess): Promise<void> {
+    for (let count = 0; !this.#isDone; count += 1) {
+      await sleep(PROBE_INTERVAL_MS * this.#plan.nodes);
+      if (!node.isRunning) continue;
+      const known = this.#submissions[Math.floor(Math.random() * this.#submissions.length)];
+      const id = count % 2 === 0 && known !== undefined ? known.id : createSubmissionId();
+      const change = Math.floor(Math.random() * (this.#changes.length + 1));
+      await this.#ask(node, id, async () => this.#deployment.getSubmission(node, id));
+      await this.#ask(node, '', async () => this.#deployment.countWaiting(node));
+      const name = `added${change}`;
+      await this.#ask(node, '', async () => this.#deployment.countWaiting(node, name), change);
+    }
+  }
+
+  /** Sends one request and records the answer. */
+  async #ask(
+    node: NodeProcess,
+    id: string,
+    send: () => Promise<SubmissionResponse>,
+    change?: number,
+  ): Promise<SubmissionResponse> {
+    const startedAt = performance.now();
+    const response = await send();
+    const endedAt = performance.now();
+    const isConfigured = change === undefined || this.#isConfigured(change, startedAt);
+    const { name } = node.options;
+    this.#answers.push({ node: name, id, change, startedAt, endedAt, isConfigured, response });
+    return response;
+  }
+
+  /** Whether all nodes know the route and the key of a change, and no later one has removed them. */
+  #isConfigured(change: number, startedAt: number): boolean {
+    const { acknowledgedAt = Infinity } = this.#changes[change] ?? {};
+    const isRemoved = this.#changes.length > change + CONFIGURED_CHANGES - 1;
+    return acknowledgedAt + CONFIGURATION_APPLY_MS < startedAt && !isRemoved;
+  }
+
   async #runCallers(): Promise<void> {
     const endsAt = performance.now() + this.#plan.submissionPeriodMs;
     const callers: Promise<void>[] = [];
@@ -97,18 +180,18 @@
       id,
       taskCounts,
       isRefused: false,
+      acceptedAt: undefined,
+      cancelSentAt: undefined,
       cancelledAt: undefined,
       state: undefined,
     };
     this.#submissions.push(submission);
     let isUncertain = false;
     for (;;) {
-      const taskSpec = { cpu: TASK_CPU_MILLIS, ms: taskMs };
-      const { status } = await this.#deployment.submit(
-        this.#chooseNode(),
-        id,
-        taskCounts,
-        taskSpec,
+      const taskSpec = { cpu: TASK_CPU_MILLIS, ms: taskMs, padding: SPEC_PADDING };
+      const node = this.#chooseNode();
+      const { status } = await this.#ask(node, id, async () =>
+        this.#deployment.submit(node, id, taskCounts, taskSpec),
       );
       if (status === HTTP_OK) break;
       // Only a refusal guarantees that the submission never runs. After any other result it may
@@ -120,12 +203,17 @@
       }
       await sleep(RETRY_DELAY_MS);
     }
+    submission.acceptedAt = performance.now();
     if (shouldCancel) await this.#cancel(submission);
   }
 
   async #cancel(submission: MutableSubmissionRecord): Promise<void> {
+    submission.cancelSentAt = performance.now();
     for (;;) {
-      const { status } = await this.#deployment.cancel(this.#chooseNode(), submission.id);
+      const node = this.#chooseNode();
+      const { status } = await this.#ask(node, submission.id, async () =>
+        this.#deployment.cancel(node, submission.id),
+      );
       if (status === HTTP_OK) break;
       await sleep(RETRY_DELAY_MS);
     }
@@ -134,16 +222,54 @@
 
   async #injectFailure(failure: InjectedFailure): Promise<void> {
     await sleep(failure.startOffsetMs);
-    if (failure.component === 'store')
-      await this.#injectStoreFailure(failure.kind, failure.durationMs);
+    for (let repeat = 0; repeat < failure.repeats; repeat += 1) await this.#injectOnce(failure);
+  }
+
+  async #injectOnce(failure: InjectedFailure): Promise<void> {
+    if (failure.component === 'change') {
+      if (failure.kind === PlannedChange.Configuration) await this.#changeConfiguration();
+      else this.#deployment.storeServer.store.dropHistory();
+      await sleep(failure.durationMs);
+    } else if (failure.component === 'store')
+      await this.#record(STORE, failure.kind, async () =>
+        this.#injectStoreFailure(failure.kind, failure.durationMs),
+      );
     else if (failure.component === 'target') await this.#injectTargetFailure(failure);
     else {
       const nodes = this.#listAffectedNodes(failure.affectedNodes);
       const { kind, durationMs } = failure;
-      await Promise.all(nodes.map(async (node) => this.#injectNodeFailure(node, kind, durationMs)));
+      const injections = nodes.map(async (node) => {
+        const inject = async (): Promise<void> => this.#injectNodeFailure(node, kind, durationMs);
+        // A signal to change the settings is no disturbance.
+        if (kind === NodeFailure.Hangup) await inject();
+        else await this.#record(node.options.name, kind, inject);
+      });
+      await Promise.all(injections);
     }
   }
 
+  async #record(
+    subject: string,
+    kind: Disturbance['kind'],
+    operate: () => Promise<void>,
+  ): Promise<void> {
+    const disturbance = { subject, kind, startedAt: performance.now(), endedAt: Infinity };
+    this.#disturbances.push(disturbance);
+    await operate();
+    disturbance.endedAt = performance.now();
+  }
+
+  /** Adds a route and a key, and removes those of an earlier change. */
+  async #changeConfiguration(): Promise<void> {
+    const { store } = this.#deployment.storeServer;
+    while (store.failure !== StoreFailure.None) await sleep(POLL_MS);
+    const change = { acknowledgedAt: Infinity };
+    this.#changes.push(change);
+    const names = [...this.#changes.keys()].map((index) => `added${index}`);
+    await this.#deployment.configure(names.slice(-CONFIGURED_CHANGES));
+    change.acknowledgedAt = performance.now();
+  }
+
   async #injectStoreFailure(kind: StoreFailure, durationMs: number): Promise<void> {
     const { store } = this.#deployment.storeServer;
     store.failure = kind;
@@ -173,11 +299,14 @@
         node.start();
         return;
       case NodeFailure.Stop:
-        node.sendSignal('SIGCONT');
-        node.sendSignal('SIGTERM');
-        await node.waitForExit();
+        await node.stop(GRACE_MS);
         node.start();
         return;
+      case NodeFailure.Hangup:
+        node.changeSettings();
+        // A process that is starting does not handle the signal yet.
+        if (performance.now() > node.startedAt + STARTUP_MS) node.sendSignal('SIGHUP');
+        return;
       case NodeFailure.Pause:
         node.sendSignal('SIGSTOP');
         await sleep(durationMs);
@@ -217,9 +346,9 @@
       const unfinished = this.#submissions.filter(isUnfinished);
       if (unfinished.length === 0) return;
       for (const submission of unfinished) {
-        const { status, state } = await this.#deployment.getSubmission(
-          this.#chooseNode(),
-          submission.id,
+        const node = this.#chooseNode();
+        const { status, state } = await this.#ask(node, submission.id, async () =>
+          this.#deployment.getSubmission(node, submission.id),
         );
         if (status === HTTP_OK) submission.state = state;
       }
--- a/packages/soak/test/invariants.test.ts
+++ b/packages/soak/test/invariants.test.ts
@@ -8,6 +8,8 @@
   id: ID,
   taskCounts: [1, 1],
   isRefused: false,
+  acceptedAt: 0,
+  cancelSentAt: undefined,
   cancelledAt: undefined,
   state: 'completed',
 };
--- a/packages/standins/src/platform/deployment.ts
+++ b/packages/standins/src/platform/deployment.ts
@@ -1,7 +1,7 @@
 import { randomBytes, randomInt } from 'node:crypto';
 import { once } from 'node:events';
 import { mkdtempSync } from 'node:fs';
-import { request, type IncomingMessage } from 'node:http';
+import { Agent, request, type IncomingMessage } from 'node:http';
 import { tmpdir } from 'node:os';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { NodeProcess } from './node-process.ts';
@@ -23,6 +23,10 @@
 
 /** Response of a node to a caller. */
 export interface SubmissionResponse {
+  /** Monotonic time in milliseconds at which the whole request was sent; undefined if it was not. */
+  readonly sentAt: number | undefined;
+  /** Whether the connection ended after the request and before the end of the response. */
+  readonly isCut: boolean;
   /** HTTP status; 0 without a response. */
   readonly status: number;
   /** State of the submission, if the response has one. */
@@ -37,36 +41,32 @@
 const HOST_NAME = 'host.example';
 const PREFIX = '/checks/';
 const KEY = 'stand-in-key';
+const ROUTE = {
+  name: 'checks',
+  host: HOST_NAME,
+  service: 'kartes',
+  max_attempts: 3,
+  stretch: 1.6,
+  target_latency_ms: 600,
+};
 const CALL_TIMEOUT_MS = 3_000;
 const POLL_MS = 50;
+/** Keeps connections open between requests, as callers do. */
+const agent = new Agent({ keepAlive: true });
 const LOWEST_FIRST_PORT = 11_000;
 const HIGHEST_FIRST_PORT = 30_000;
 /** Lowest third octet of the nodes' loopback addresses. */
 const LOWEST_NETWORK = 20;
 
-const CONFIGURATION = {
-  version: 1,
-  routes: [
-    {
-      name: 'checks',
-      host: HOST_NAME,
-      path_prefix: PREFIX,
-      service: 'kartes',
-      max_attempts: 3,
-      stretch: 1.6,
-      target_latency_ms: 600,
-    },
-  ],
-  services: [{ name: 'kartes', enforces_capacity: true }],
-  tenants: [{ name: 'kurzeme', api_keys: [KEY], weight: 100, cap: {} }],
-};
-
 /** A store, targets and nodes on loopback addresses. */
 export class StandinDeployment {
   readonly storeServer = new StoreServer();
   readonly runHistory = new RunHistory();
   readonly targets: StandinTarget[] = [];
   readonly nodes: NodeProcess[] = [];
+  /** Directory of the nodes' settings and log files. */
+  readonly directory = mkdtempSync(`${tmpdir()}/currantgap-`);
+  #configurationVersion = 0;
   readonly #options: StandinDeploymentOptions;
 
   constructor(options: StandinDeploymentOptions) {
@@ -76,16 +76,8 @@
   /** Starts everything and waits until every node is ready and one of them owns the fleet. */
   async start(): Promise<void> {
     const storeAddress = await this.storeServer.listen();
-    const { store } = this.storeServer;
-    const value = JSON.stringify(CONFIGURATION);
-    const puts = [{ table: 'op', part: '', key: 'config', value }];
-    await store.commit({ conditions: [], puts, removals: [] });
-    for (let index = 0; index < this.#options.targets; index += 1) {
-      const target = new StandinTarget(`t${index}`, 'kartes', store, this.runHistory);
-      this.targets.push(target);
-      await target.open();
-    }
-    const directory = mkdtempSync(`${tmpdir()}/currantgap-`);
+    await this.configure([]);
+    await this.openTargets(this.#options.targets);
     const firstPort = randomInt(LOWEST_FIRST_PORT, HIGHEST_FIRST_PORT);
     const network = randomInt(LOWEST_NETWORK, 255);
     const { nodes, command, openStoreProxy } = this.#options;
@@ -97,7 +89,7 @@
         host: `127.0.${network}.${index + 1}`,
         firstPort,
         storeAddress: proxyAddress ?? storeAddress,
-        directory,
+        directory: this.directory,
         command,
       });
       this.nodes.push(node);
@@ -107,6 +99,30 @@
     while (this.findOwner() === undefined) await sleep(POLL_MS);
   }
 
+  /** Writes a configuration with the permanent route and key, and a route and a key per name. */
+  async configure(names: readonly string[]): Promise<void> {
+    this.#configurationVersion += 1;
+    const value = JSON.stringify({
+      version: this.#configurationVersion,
+      routes: [{ ...ROUTE, path_prefix: PREFIX }, ...names.map(buildRoute)],
+      services: [{ name: 'kartes', enforces_capacity: true }],
+      tenants: [{ name: 'kurzeme', api_keys: [KEY, ...names], weight: 100, cap: {} }],
+    });
+    const puts = [{ table: 'op', part: '', key: 'config', value }];
+    await this.storeServer.store.commit({ conditions: [], puts, removals: [] });
+  }
+
+  /** Starts and registers further targets. */
+  async openTargets(count: number): Promise<void> {
+    const { store } = this.storeServer;
+    for (let index = 0; index < count; index += 1) {
+      const id = `t${this.targets.length}`;
+      const target = new StandinTarget(id, 'kartes', store, this.runHistory);
+      this.targets.push(target);
+      await target.open();
+    }
+  }
+
   /** Kills the nodes and closes the targets and the store. */
   async close(): Promise<void> {
     await Promise.all(this.nodes.map((node) => node.kill()));
@@ -162,9 +178,10 @@
     return send(node.options.host, node.callerPort, 'GET', `${PREFIX}${id}`);
   }
 
-  /** Requests the number of submissions that wait in the queue. */
-  async countWaiting(node: NodeProcess): Promise<SubmissionResponse> {
-    return send(node.options.host, node.callerPort, 'GET', PREFIX);
+  /** Requests the number of submissions that wait, by the route and with the key of a name. */
+  async countWaiting(node: NodeProcess, name?: string): Promise<SubmissionResponse> {
+    const path = name === undefined ? PREFIX : `/${name}/`;
+    return send(node.options.host, node.callerPort, 'GET', path, undefined, name);
   }
 
   /** Requests the cancellation of a submission. */
@@ -190,16 +207,30 @@
   return randomBytes(8).toString('hex');
 }
 
+function buildRoute(name: string): object {
+  return { ...ROUTE, name, path_prefix: `/${name}/` };
+}
+
 async function send(
   host: string,
   port: number,
   method: string,
   path: string,
   body?: string,
+  key = KEY,
 ): Promise<SubmissionResponse> {
-  const headers = { host: HOST_NAME, authorization: `Bearer ${KEY}` };
-  const outgoing = request({ host, port, method, path, headers, timeout: CALL_TIMEOUT_MS });
-  outgoing.on('timeout', () => outgoing.destroy(new Error('no response before the timeout')));
+  const headers = { host: HOST_NAME, authorization: `Bearer ${key}` };
+  const options = { host, port, method, path, headers, timeout: CALL_TIMEOUT_MS, agent };
+  let sentAt: number | undefined;
+  let hasTimedOut = false;
+  const outgoing = request(options);
+  outgoing.on('finish', () => {
+    sentAt = performance.now();
+  });
+  outgoing.on('timeout', () => {
+    hasTimedOut = true;
+    outgoing.destroy(new Error('no response before the timeout'));
+  });
   outgoing.end(body);
   try {
     const [response] = (await once(outgoing, 'response')) as [IncomingMessage];
@@ -210,9 +241,12 @@
       waiting?: number;
     };
     const retryAfter = response.headers['retry-after'];
-    return { status: response.statusCode ?? 0, state, waiting, retryAfter };
+    const status = response.statusCode ?? 0;
+    return { sentAt, isCut: false, status, state, waiting, retryAfter };
   } catch {
     // A missing response is an expected result here, not a failure of the test.
-    return { status: 0, state: undefined, waiting: undefined, retryAfter: undefined };
+    const isCut = sentAt !== undefined && !hasTimedOut;
+    const [state, waiting, retryAfter] = [undefined, undefined, undefined];
+    return { sentAt, isCut, status: 0, state, waiting, retryAfter };
   }
 }
--- a/packages/standins/src/platform/node-process.ts
+++ b/packages/standins/src/platform/node-process.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { openSync, writeFileSync } from 'node:fs';
+import { appendFileSync, openSync, writeFileSync } from 'node:fs';
 
 /** Options of a node under test. */
 export interface NodeProcessOptions {
@@ -22,6 +22,8 @@
   readonly #logDescriptor: number;
   readonly #settingsFile: string;
   #child: ChildProcess | undefined;
+  /** Monotonic time in milliseconds at which the process was last started. */
+  startedAt = 0;
 
   constructor(options: NodeProcessOptions) {
     this.options = options;
@@ -48,12 +50,18 @@
     const [program, ...args] = this.options.command;
     if (program === undefined)
       throw new Error('the command is empty; its first element must be the program');
+    this.startedAt = performance.now();
     this.#child = spawn(program, [...args, 'node'], {
       env: { ...process.env, CURRANTGAP_SETTINGS: this.#settingsFile },
       stdio: ['ignore', this.#logDescriptor, this.#logDescriptor],
     });
   }
 
+  /** Changes the text of the settings file. */
+  changeSettings(): void {
+    appendFileSync(this.#settingsFile, '\n');
+  }
+
   /** Sends a signal to the process. */
   sendSignal(signal: NodeJS.Signals): void {
     this.#child?.kill(signal);
@@ -64,6 +72,17 @@
     if (this.#child !== undefined && this.isRunning) await once(this.#child, 'exit');
   }
 
+  /** Stops the process with SIGTERM, and with SIGKILL if it still runs after the grace period. */
+  async stop(graceMs: number): Promise<void> {
+    const child = this.#child;
+    if (child === undefined || !this.isRunning) return;
+    child.kill('SIGCONT');
+    child.kill('SIGTERM');
+    const timer = setTimeout(() => child.kill('SIGKILL'), graceMs);
+    await once(child, 'exit');
+    clearTimeout(timer);
+  }
+
   /** Kills the process with SIGKILL and waits for its exit. */
   async kill(): Promise<void> {
     this.sendSignal('SIGKILL');
