revert(store): a poll beside an overdue one waits for a change again

On links of 25 kB/s its polls harmed what they were to help: a poll that does not wait has the shorter timeout of a call, and its failure ends the poll beside it whose response is on its way; after each failure the next one was overdue after 0.5 s.

Without it a poll that is lost on a quiet queue makes the count 503 for up to a second and a half: open.

--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -72,8 +72,6 @@
   /** Version up to which changes were consumed; undefined when the feed has to begin anew. */
   #version: number | undefined;
   #hasSnapshot = false;
-  /** Whether nothing is known since a failure or a scan, so that the next poll should not wait. */
-  #isBehind = true;
   #isStopped = false;
   #outage: { readonly lostAt: number; failedCalls: number; longestCallMs: number } | undefined;
   /** Monotonic time at which the call in flight was sent, in milliseconds. */
@@ -177,8 +175,7 @@
   }
 
   async #poll(version: number): Promise<boolean> {
-    const { store, table, parts } = this.#options;
-    const waitMs = this.#isBehind ? 0 : (this.#options.waitMs ?? POLL_WAIT_MS);
+    const { store, table, parts, waitMs = POLL_WAIT_MS } = this.#options;
     const page = await pollOverlapping(store, { table, after: version, waitMs });
     if (this.#isStopped) return true;
     if (page.isErr()) {
@@ -186,7 +183,6 @@
       return this.#recordFailure(page.error);
     }
     this.#recordSuccess();
-    this.#isBehind = false;
     this.#version = Math.max(version, page.value.version);
     this.#consumedAt = Math.max(this.#consumedAt, page.value.currentAt);
     // A page that was sent before the last scan may follow it.
@@ -207,7 +203,6 @@
   /** Reports the first of consecutive failures; always returns false. */
   #recordFailure(fault: StoreFault): boolean {
     const now = performance.now();
-    this.#isBehind = true;
     if (this.#outage === undefined) {
       this.#outage = { lostAt: now, failedCalls: 0, longestCallMs: 0 };
       this.#options.onLost?.(fault);
--- a/packages/store/src/overlapping-poll.ts
+++ b/packages/store/src/overlapping-poll.ts
@@ -10,8 +10,7 @@
 
 /**
  * Polls a change feed. While the response is overdue, another poll is sent beside it, since the store
- * may have lost the first one or its connection may have fallen silent. That one does not wait for a
- * change, so that it tells at once up to when nothing has changed. Returns the first result.
+ * may have lost the first one or its connection may have fallen silent. Returns the first result.
  */
 export async function pollOverlapping(
   store: Store,
@@ -31,7 +30,7 @@
       timer = setTimeout(() => {
         send(sentAt);
       }, query.waitMs + OVERDUE_MS);
-      const options = silentSince === undefined ? { signal } : { signal, silentSince, waitMs: 0 };
+      const options = silentSince === undefined ? { signal } : { signal, silentSince };
       void store.poll({ ...query, ...options }).then(finish);
     };
     send();
