fix(execution): the poll of submissions waits 1.5 s again

Cause: shortened the wait to 1 s, and with it the time until a poll is given up and until another is sent beside it, which a narrow link needs for the response.

Change: the wait is that of all feeds. A count is at most 1.6 s old in steady state, within the 2 s.

--- a/packages/execution/src/term-feeds.ts
+++ b/packages/execution/src/term-feeds.ts
@@ -11,11 +11,6 @@
 
 /** Milliseconds between a response of the intake's change feed and the next poll. */
 const INTAKE_POLL_PAUSE_MS = 15;
-/**
- * Milliseconds after which the store answers a poll of the intake even if nothing has changed. A count of
- * waiting submissions may be 2 s old; of these, a poll that is lost costs this time and 0.5 s.
- */
-const INTAKE_POLL_WAIT_MS = 1_000;
 /** Milliseconds between a response of the target registry's change feed and the next poll. */
 const REGISTRY_POLL_PAUSE_MS = 150;
 
@@ -104,7 +99,6 @@
   #buildIntakeOptions(isReady: Promise<void>): Partial<FeedConsumerOptions> {
     const { post, logger, term } = this.#options.context;
     return {
-      waitMs: INTAKE_POLL_WAIT_MS,
       onCurrent: (currentAt) => {
         void isReady.then(() => {
           post({ kind: 'intake-current', currentAt });
--- a/packages/store/src/feed-consumer.ts
+++ b/packages/store/src/feed-consumer.ts
@@ -42,8 +42,6 @@
   /** Parts whose rows are passed on; rows of other parts are ignored. */
   readonly parts: readonly string[];
   readonly pageSizer: PageSizer;
-  /** Milliseconds after which the store answers a poll even if nothing has changed; 1,500 by default. */
-  readonly waitMs?: number;
   /** Milliseconds between a response and the next poll; batches changes into fewer calls. */
   readonly pauseMs: number;
   /**
@@ -175,8 +173,8 @@
   }
 
   async #poll(version: number): Promise<boolean> {
-    const { store, table, parts, waitMs = POLL_WAIT_MS } = this.#options;
-    const page = await pollOverlapping(store, { table, after: version, waitMs });
+    const { store, table, parts } = this.#options;
+    const page = await pollOverlapping(store, { table, after: version, waitMs: POLL_WAIT_MS });
     if (this.#isStopped) return true;
     if (page.isErr()) {
       if (page.error.kind === StoreFaultKind.HistoryGone) this.#version = undefined;
--- a/packages/store/test/feed-consumer.test.ts
+++ b/packages/store/test/feed-consumer.test.ts
@@ -4,6 +4,8 @@
 import {
   FeedConsumer,
   PageSizer,
+  type FeedPage,
+  type FeedQuery,
   type RangePage,
   type RangeQuery,
   type StoreFault,
