fix(node): a second signal to stop does not end a node that drains

Cause: the listeners of SIGTERM and SIGINT were removed by the first signal, so that the second had its default effect.

Change: the listeners stay; stopping twice is one stop.

--- a/packages/features/platform.feature
+++ b/packages/features/platform.feature
@@ -31,6 +31,13 @@
     And no run has lost its lease
     And no task ran twice
 
+  # Guards against requests that are cut because the signal to stop is sent again.
+  Scenario: A node that is told to stop again goes on answering until it has drained
+    Given a deployment with 2 nodes and 2 targets
+    When a node is told to stop and told again 300 ms later
+    Then it still answers
+    And the process of the stopped node exits by itself
+
   Scenario: A paused owner resumes after another node has taken over
     Given a deployment with 3 nodes and 3 targets
     When 4 submissions are sent to every node
--- a/packages/features/steps/platform-steps.ts
+++ b/packages/features/steps/platform-steps.ts
@@ -179,6 +179,23 @@
   owner.sendSignal('SIGTERM');
 });
 
+When('a node is told to stop and told again {int} ms later', async (ms: number) => {
+  const [node] = getState().deployment.nodes;
+  assert.ok(node);
+  getState().stoppedNode = node;
+  node.sendSignal('SIGTERM');
+  await sleep(ms);
+  node.sendSignal('SIGTERM');
+  await sleep(ms);
+});
+
+Then('it still answers', async () => {
+  const { deployment, stoppedNode } = getState();
+  assert.ok(stoppedNode);
+  const { status } = await deployment.getSubmission(stoppedNode, createSubmissionId());
+  assert.equal(status, 410);
+});
+
 When('the owner is paused for {int} ms', async (ms: number) => {
   const owner = getOwner();
   owner.sendSignal('SIGSTOP');
--- a/packages/node/src/run.ts
+++ b/packages/node/src/run.ts
@@ -31,8 +31,9 @@
     return 2;
   }
   await new Promise<void>((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+    // The listeners stay: without one, a second signal would end the process and cut its requests.
+    process.on('SIGTERM', resolve);
+    process.on('SIGINT', resolve);
   });
   await node.stop();
   lines.flush();
