--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -11,6 +11,7 @@
 } from '@currantgap/standins';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { findWrongAnswers, STORE, type Answer, type Disturbance } from './answers.ts';
+import { ConfigurationChanges, formatChangeName } from './configuration-changes.ts';
 import { findViolations, type SubmissionRecord } from './invariants.ts';
 import {
   AffectedNodes,
@@ -37,10 +38,6 @@
 const GRACE_MS = 6_000;
 /** Milliseconds after its start within which a process may not handle SIGHUP yet. */
 const STARTUP_MS = 3_000;
-/** Milliseconds after its acknowledgement by which a configuration is applied. */
-const CONFIGURATION_APPLY_MS = 2_000;
-/** Number of configurations that have the route and the key that the first of them adds. */
-const CONFIGURED_CHANGES = 3;
 const TASK_CPU_MILLIS = 1_000;
 /** Makes submissions as large as usual, so that reading all of them takes time on a narrow link. */
 const SPEC_PADDING = 'x'.repeat(1_000);
@@ -63,8 +60,7 @@
   readonly #submissions: MutableSubmissionRecord[] = [];
   readonly #answers: Answer[] = [];
   readonly #disturbances: Disturbance[] = [];
-  /** The changes of the configuration; each adds a route and a key that are named by its index. */
-  readonly #changes: { acknowledgedAt: number }[] = [];
+  readonly #changes: ConfigurationChanges;
   #isDone = false;
 
   /** `command` is the program that runs the product, followed by its arguments. */
@@ -79,6 +75,7 @@
       return proxy.open();
     };
     this.#deployment = new StandinDeployment({ nodes, targets, command, openStoreProxy });
+    this.#changes = new ConfigurationChanges(this.#deployment);
   }
 
   /** Runs the plan; returns a line per violated invariant and the count of accepted submissions. */
@@ -126,10 +123,10 @@
       if (!node.isRunning) continue;
       const known = this.#submissions[Math.floor(Math.random() * this.#submissions.length)];
       const id = count % 2 === 0 && known !== undefined ? known.id : createSubmissionId();
-      const change = Math.floor(Math.random() * (this.#changes.length + 1));
+      const change = Math.floor(Math.random() * (this.#changes.count + 1));
       await this.#ask(node, id, async () => this.#deployment.getSubmission(node, id));
       await this.#ask(node, '', async () => this.#deployment.countWaiting(node));
-      const name = `added${change}`;
+      const name = formatChangeName(change);
       await this.#ask(node, '', async () => this.#deployment.countWaiting(node, name), change);
     }
   }
@@ -144,19 +141,12 @@
     const startedAt = performance.now();
     const response = await send();
     const endedAt = performance.now();
-    const isConfigured = change === undefined || this.#isConfigured(change, startedAt);
+    const isConfigured = change === undefined || this.#changes.isConfigured(change, startedAt);
     const { name } = node.options;
     this.#answers.push({ node: name, id, change, startedAt, endedAt, isConfigured, response });
     return response;
   }
 
-  /** Whether all nodes know the route and the key of a change, and no later one has removed them. */
-  #isConfigured(change: number, startedAt: number): boolean {
-    const { acknowledgedAt = Infinity } = this.#changes[change] ?? {};
-    const isRemoved = this.#changes.length > change + CONFIGURED_CHANGES - 1;
-    return acknowledgedAt + CONFIGURATION_APPLY_MS < startedAt && !isRemoved;
-  }
-
   async #runCallers(): Promise<void> {
     const endsAt = performance.now() + this.#plan.submissionPeriodMs;
     const callers: Promise<void>[] = [];
@@ -227,7 +217,7 @@
 
   async #injectOnce(failure: InjectedFailure): Promise<void> {
     if (failure.component === 'change') {
-      if (failure.kind === PlannedChange.Configuration) await this.#changeConfiguration();
+      if (failure.kind === PlannedChange.Configuration) await this.#changes.add();
       else this.#deployment.storeServer.store.dropHistory();
       await sleep(failure.durationMs);
     } else if (failure.component === 'store')
@@ -259,17 +249,6 @@
     disturbance.endedAt = performance.now();
   }
 
-  /** Adds a route and a key, and removes those of an earlier change. */
-  async #changeConfiguration(): Promise<void> {
-    const { store } = this.#deployment.storeServer;
-    while (store.failure !== StoreFailure.None) await sleep(POLL_MS);
-    const change = { acknowledgedAt: Infinity };
-    this.#changes.push(change);
-    const names = [...this.#changes.keys()].map((index) => `added${index}`);
-    await this.#deployment.configure(names.slice(-CONFIGURED_CHANGES));
-    change.acknowledgedAt = performance.now();
-  }
-
   async #injectStoreFailure(kind: StoreFailure, durationMs: number): Promise<void> {
     const { store } = this.#deployment.storeServer;
     store.failure = kind;
