--- a/review/5/case.js
+++ b/review/5/case.js
@@ -2,8 +2,10 @@
 import { isDisrupted, runCase } from '../standins/case.js';
 
 const TASK = { cpu: 4_100, mem: 1_024, ms: 1_000 };
-const LARGE_SUBMISSIONS = 44;
-const LARGE_TASKS = 6_000;
+/** The schedule: an occurrence each 5 s of a day, whose first one was due a day ago. */
+const OCCURRENCES = 17_280;
+const INTERVAL_MS = 5_000;
+const SCHEDULED_TASKS = 8;
 const ORDERS = 10;
 const ORDER_TASKS = 6;
 const ORDER_PERIOD_MS = 1_000;
@@ -22,17 +24,20 @@
     ],
   });
   if (isDisrupted) {
-    const large = buildSubmission(LARGE_TASKS);
-    await Promise.all(
-      Array.from({ length: LARGE_SUBMISSIONS }, () =>
-        deployment.submit('renders', createId(), large),
-      ),
-    );
+    const schedule = {
+      ...buildSubmission([SCHEDULED_TASKS, SCHEDULED_TASKS]),
+      iterations: OCCURRENCES,
+      first_run_ms: Date.now() - OCCURRENCES * INTERVAL_MS,
+      interval_ms: INTERVAL_MS,
+    };
+    const status = await deployment.submit('renders', createId(), schedule);
+    if (status !== 200) throw new Error(`the schedule was answered ${status}`);
   }
   const ids = [];
   for (let index = 0; index < ORDERS; index += 1) {
     const id = createId();
-    if ((await deployment.submit('orders', id, buildSubmission(ORDER_TASKS))) === 200) ids.push(id);
+    if ((await deployment.submit('orders', id, buildSubmission([ORDER_TASKS]))) === 200)
+      ids.push(id);
     await sleep(ORDER_PERIOD_MS);
   }
   const hasFailed = () => nodes.filter(({ ends }) => ends >= FAULT_ENDS).length >= FAULT_MACHINES;
@@ -50,7 +55,16 @@
   return isBroken ? [`Fault ${summary}`] : [];
 });
 
-function buildSubmission(count) {
-  const step = { count, cpu: TASK.cpu, mem_mb: TASK.mem, estimated_ms: TASK.ms };
-  return { spec: JSON.stringify([TASK]), steps: [step] };
+function buildSubmission(counts) {
+  const { cpu, mem, ms } = TASK;
+  return {
+    spec: JSON.stringify(counts.map(() => TASK)),
+    steps: counts.map((count, index) => ({
+      count,
+      cpu,
+      mem_mb: mem,
+      estimated_ms: ms,
+      ...(index > 0 ? { after: [index - 1] } : {}),
+    })),
+  };
 }
--- a/review/standins/executor.js
+++ b/review/standins/executor.js
@@ -200,6 +200,9 @@
 
   #tick() {
     const now = performance.now();
+    // An end that is acknowledged after the lease has lapsed does not count as taken note of.
+    if (this.#clockMs > this.#leaseEndsAt)
+      for (const { record } of this.#ends) record.isLapsed = true;
     for (const [task, entry] of [...this.#running]) {
       const workedMs = now - entry.startedAt;
       const { ms, checkpointing, isFailing } = entry.demand;
--- a/review/standins/history.js
+++ b/review/standins/history.js
@@ -51,7 +51,7 @@
 
   /**
    * Describes what TWICE forbids: two runs of a task at the same time, and starts after a run has ended `done`
-   * whose end was acknowledged then or later.
+   * whose end was acknowledged then or later, unless the lease lapsed in between.
    */
   findTwice() {
     const byTask = new Map();
@@ -61,7 +61,8 @@
       for (const [index, later] of runs.entries()) {
         for (const earlier of runs.slice(0, index)) {
           const isParallel = (earlier.endedAt ?? Infinity) > later.startedAt;
-          const isRepeated = earlier.how === 'done' && earlier.isAcknowledged && !isParallel;
+          const isRepeated =
+            earlier.how === 'done' && earlier.isAcknowledged && !earlier.isLapsed && !isParallel;
           if (isParallel || isRepeated) found.push(describe(earlier, later, isParallel));
         }
       }
