--- a/review/1/case.js
+++ b/review/1/case.js
@@ -4,7 +4,7 @@
 
 const OUTAGE_MS = 4_200;
 const TASK = { cpu: 500, mem: 256, ms: 500 };
-const SUBMISSIONS = 30;
+const SUBMISSIONS = 40;
 const TASKS = 100;
 
 await runCase(import.meta.dirname, async (deployment) => {
@@ -19,6 +19,7 @@
   const answers = await Promise.all(ids.map((id) => deployment.submit('checks', id, body)));
   const accepted = ids.filter((_, index) => answers[index] === 200);
   if (accepted.length < SUBMISSIONS / 2) throw new Error(`only ${accepted.length} were accepted`);
+  await sleep(1_000);
   if (isDisrupted) {
     history.write('the store is down');
     store.outage = Outage.Reset;
