--- a/review/standins/executor.js
+++ b/review/standins/executor.js
@@ -11,7 +11,7 @@
 
 /**
  * Stand-in of an executor. A specification is a JSON list with an entry for each step: `ms`, `cpu`, `mem` and,
- * optionally, `checkpointing` and `isFailing`.
+ * optionally, `checkpointing` and `failures`, the number of first runs of a task that fail.
  */
 export class Executor extends LoopbackServer {
   /** Whether calls are neither applied nor answered, as behind a cut. */
@@ -148,8 +148,9 @@
       token: this.#token,
       checkpoint,
     });
+    const isFailing = demand.failures > 0 && history.countRuns(task) <= demand.failures;
     const startedAt = performance.now() + (checkpoint === '' ? 0 : RESTORE_MS);
-    this.#running.set(task, { run, demand, record, checkpoint, saves: 0, startedAt });
+    this.#running.set(task, { run, demand, record, checkpoint, saves: 0, startedAt, isFailing });
     return undefined;
   }
 
@@ -205,9 +206,9 @@
       for (const { record } of this.#ends) record.isLapsed = true;
     for (const [task, entry] of [...this.#running]) {
       const workedMs = now - entry.startedAt;
-      const { ms, checkpointing, isFailing } = entry.demand;
+      const { ms, checkpointing } = entry.demand;
       if (this.#clockMs > this.#leaseEndsAt) this.#end(task, entry.run, 'lapsed');
-      else if (workedMs >= ms) this.#end(task, entry.run, isFailing ? 'failed' : 'done');
+      else if (workedMs >= ms) this.#end(task, entry.run, entry.isFailing ? 'failed' : 'done');
       else if (checkpointing && workedMs >= (entry.saves + 1) * CHECKPOINT_MS) {
         entry.saves += 1;
         entry.checkpoint = entry.saves.toString(16).padStart(8, '0') + task.slice(0, 8);
--- a/review/standins/history.js
+++ b/review/standins/history.js
@@ -34,6 +34,11 @@
     return record;
   }
 
+  /** Counts the runs of a task so far. */
+  countRuns(task) {
+    return this.runs.filter((run) => run.task === task).length;
+  }
+
   recordEnd(record, how) {
     record.endedAt = this.now;
     record.how = how;
