--- a/review/standins/case.js
+++ b/review/standins/case.js
@@ -11,6 +11,11 @@
 export async function runCase(directory, play) {
   const deployment = new Deployment(join(directory, 'record.txt'));
   let code = 2;
+  // An error in a stand-in says nothing about the rule.
+  process.on('uncaughtException', (error) => {
+    console.log(`the case could not run: ${error.stack}`);
+    void deployment.close().then(() => process.exit(2));
+  });
   try {
     const findings = await play(deployment);
     for (const line of findings) deployment.history.write(`BROKEN ${line}`);
--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -26,6 +26,8 @@
 /** Milliseconds after which a process that ended is started again, as by the platform. */
 const RESTART_MS = 500;
 const CALL_TIMEOUT_MS = 3_000;
+/** Milliseconds in which the nodes have to be ready. */
+const START_MS = 20_000;
 /** Bounds of the small deployments, by their names in the settings. */
 const BOUNDS = {
   seed_lag_s: 3,
@@ -114,8 +116,11 @@
       const storeAddress = await this.#openLink(linkMbps);
       this.#startNode(index, { network, port, storeAddress, linkMbps, bounds });
     }
-    await this.waitFor(() => this.findOwner() !== undefined, 20_000);
-    for (const node of this.nodes) await this.waitFor(() => this.isReady(node), 20_000);
+    const isUp = async () => {
+      for (const node of this.nodes) if (!(await this.isReady(node))) return false;
+      return this.findOwner() !== undefined;
+    };
+    if (!(await this.waitFor(isUp, START_MS))) throw new Error('the nodes are not ready');
     // Traffic starts some seconds after the machines do.
     await sleep(3_000);
     this.history.write('the deployment is up');
