--- a/review/standins/case.js
+++ b/review/standins/case.js
@@ -11,11 +11,17 @@
 export async function runCase(directory, play) {
   const deployment = new Deployment(join(directory, 'record.txt'));
   let code = 2;
-  // An error in a stand-in says nothing about the rule.
-  process.on('uncaughtException', (error) => {
-    console.log(`the case could not run: ${error.stack}`);
+  let isAbandoned = false;
+  const abandon = (reason) => {
+    if (isAbandoned) return;
+    isAbandoned = true;
+    console.log(`the case could not run: ${reason}`);
     void deployment.close().then(() => process.exit(2));
-  });
+  };
+  // An error in a stand-in says nothing about the rule.
+  process.on('uncaughtException', (error) => abandon(error.stack));
+  // Without these, the processes of the nodes would outlive the case.
+  for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => abandon(signal));
   try {
     const findings = await play(deployment);
     for (const line of findings) deployment.history.write(`BROKEN ${line}`);
