--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,6 +1,6 @@
-import { createId, sleep } from '../standins/deployment.js';
-import { isDisrupted, runCase } from '../standins/case.js';
-import { Outage } from '../standins/store.js';
+import { createId, sleep } from '../deployment.js';
+import { isDisrupted, runCase } from '../play.js';
+import { Outage } from '../store.js';
 
 const OUTAGE_MS = 4_200;
 const TASK = { cpu: 500, mem: 256, ms: 500 };
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -1,5 +1,5 @@
-import { createId, sleep } from '../standins/deployment.js';
-import { isDisrupted, runCase } from '../standins/case.js';
+import { createId, sleep } from '../deployment.js';
+import { isDisrupted, runCase } from '../play.js';
 
 /** Milliseconds for which the executor is cut off from all machines. */
 const CUT_MS = 5_500;
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -1,5 +1,5 @@
-import { createId, sleep } from '../standins/deployment.js';
-import { isDisrupted, runCase } from '../standins/case.js';
+import { createId, sleep } from '../deployment.js';
+import { isDisrupted, runCase } from '../play.js';
 
 const TASK = { cpu: 4_100, mem: 1_024, ms: 3_000 };
 const SUBMISSIONS = 4;
--- a/review/standins/deployment.js
+++ b/review/deployment.js
@@ -8,10 +8,9 @@
 import { fileURLToPath } from 'node:url';
 import { Executor } from './executor.js';
 import { History } from './history.js';
-import { Link } from './link.js';
 import { Store } from './store.js';
 
-const ROOT = fileURLToPath(new URL('../..', import.meta.url));
+const ROOT = fileURLToPath(new URL('..', import.meta.url));
 /** The command of the deploy file. */
 const COMMAND = [
   'node',
@@ -88,7 +87,6 @@
   history;
   #directory = mkdtempSync(join(tmpdir(), 'review-'));
   #version = 0;
-  #links = [];
   #isClosed = false;
 
   /** `recordFile` is the path of the record. */
@@ -96,11 +94,8 @@
     this.history = new History(recordFile);
   }
 
-  /**
-   * Starts the store, the executors and the nodes; resolves when one of them owns the fleet. `linkMbps` limits
-   * the link of each node to the store; `bounds` replaces some of the settings.
-   */
-  async start({ services, routes, nodeCount = 3, linkMbps, bounds = {} }) {
+  /** Starts the store, the executors and the nodes; resolves when one of them owns the fleet. */
+  async start({ services, routes, nodeCount = 3 }) {
     await this.store.listen();
     this.configure({ services: Object.keys(services), routes });
     for (const [service, { count, cpu = 32_000, memory = 131_072, racks = 2 }] of Object.entries(
@@ -112,10 +107,7 @@
     }
     const network = randomInt(20, 250);
     const port = randomInt(11_000, 30_000);
-    for (let index = 0; index < nodeCount; index += 1) {
-      const storeAddress = await this.#openLink(linkMbps);
-      this.#startNode(index, { network, port, storeAddress, linkMbps, bounds });
-    }
+    for (let index = 0; index < nodeCount; index += 1) this.#startNode(index, network, port);
     const isUp = async () => {
       for (const node of this.nodes) if (!(await this.isReady(node))) return false;
       return this.findOwner() !== undefined;
@@ -217,7 +209,6 @@
       await once(child, 'exit');
     }
     for (const { executor } of this.executors) executor.close();
-    for (const link of this.#links) link.close();
     this.store.close();
     agent.destroy();
     this.history.flush();
@@ -225,20 +216,14 @@
     else console.log(`logs: ${this.#directory}`);
   }
 
-  /** Opens a node's link to the store, if its bandwidth is limited; resolves to the store's address. */
-  async #openLink(linkMbps) {
-    if (linkMbps === undefined) return this.store.address;
-    const link = new Link(linkMbps);
-    this.#links.push(link);
-    return link.open(this.store.address);
-  }
-
-  #startNode(index, options) {
-    const { network, port } = options;
+  #startNode(index, network, port) {
     const name = `edge-riga-a-${index + 1}`;
     const host = `127.0.${network}.${index + 1}`;
     const settings = join(this.#directory, `${name}.conf`);
-    writeFileSync(settings, formatSettings(name, host, options));
+    writeFileSync(
+      settings,
+      formatSettings(name, host, { network, port, storeAddress: this.store.address }),
+    );
     const node = { name, host, port, child: undefined, ends: 0 };
     this.nodes.push(node);
     const log = openSync(join(this.#directory, `${name}.log`), 'a');
@@ -258,10 +243,8 @@
 }
 
 /** Formats the settings file of a node. */
-function formatSettings(name, host, { network, port, storeAddress, linkMbps = 1_000, bounds }) {
-  const limits = Object.entries({ ...BOUNDS, ...bounds }).map(
-    ([bound, value]) => `bounds.${bound}=${value}`,
-  );
+function formatSettings(name, host, { network, port, storeAddress }) {
+  const limits = Object.entries(BOUNDS).map(([bound, value]) => `bounds.${bound}=${value}`);
   return `node=${name}
 role=node
 machine_class=edge
@@ -280,7 +263,7 @@
 limits.cores=1
 limits.memory_mb=350
 limits.file_descriptors=4100
-limits.link_mbps=${linkMbps}
+limits.link_mbps=1000.0
 limits.disk_mb=0
 discovery=platform
 entry=vip
