fix(execution): conclude nothing from a report whose ended runs were cut off

Callers saw tasks run again, up to four times, although they had ended done: while the store was down no end could be acknowledged, and a target with more than 500 of them lists the oldest 500 only.

Cause: a report did not say whether it was whole, and an absence in it was taken for a lost run, for a prevented start and, after a change of owner, for a complete knowledge of what a predecessor had started.

Why it works: a report tells whether there may be more ends. Runs that it does not list then keep their assignment until their end is listed, and a target is settled for a new owner by a whole report only, or when its leases are over. Related: copies, learned durations and crash suspicion ignore such runs; the protocol between owner and forwarders carries the fact (version 2).

--- a/packages/execution/src/crash-detector.ts
+++ b/packages/execution/src/crash-detector.ts
@@ -43,12 +43,13 @@
 
   /** Records runs that were lost because all leases on their silent target have expired. */
   recordSilentLoss(target: TargetRecord, lost: readonly Assignment[]): void {
-    if (target.entry.state === TargetState.Draining || lost.length === 0) return;
+    const runs = describeRuns(target, lost);
+    if (target.entry.state === TargetState.Draining || runs.length === 0) return;
     const { now } = this.#options.clock;
     const loss = {
       target,
       bornAt: target.bornAt ?? target.entry.bornAt,
-      runs: describeRuns(target, lost),
+      runs,
       lostAt: now,
       expiresAt: now + RESOLUTION_MS,
     };
@@ -63,8 +64,9 @@
 
   /** Records that another incarnation has replaced the one with these runs. */
   recordCrash(target: TargetRecord, lost: readonly Assignment[]): void {
-    if (target.entry.state === TargetState.Draining || lost.length === 0) return;
-    this.#recordCrash(target, lost[0]?.attempt.bornAt ?? 0, describeRuns(target, lost));
+    const runs = describeRuns(target, lost);
+    if (target.entry.state === TargetState.Draining || runs.length === 0) return;
+    this.#recordCrash(target, lost[0]?.attempt.bornAt ?? 0, runs);
   }
 
   /** Takes the verdicts on all crashes that were detected since the last call. */
@@ -112,8 +114,10 @@
   }
 }
 
+/** Describes the runs that were active when their target was lost. */
 function describeRuns(target: TargetRecord, lost: readonly Assignment[]): CrashedRun[] {
-  return lost.map(({ task, attempt }) => ({
+  const active = lost.filter(({ attempt }) => !attempt.isEndAwaited);
+  return active.map(({ task, attempt }) => ({
     task,
     isListed: attempt.isListed,
     ageMs: (target.reportedAt ?? attempt.startedAt) - attempt.startedAt,
--- a/packages/execution/src/duration-recorder.ts
+++ b/packages/execution/src/duration-recorder.ts
@@ -73,6 +73,8 @@
     kind: EndKind,
     effect: EndEffect,
   ): LogContext {
+    // An end that was listed late does not show how long the run took.
+    if (assignment.attempt.isEndAwaited) return {};
     if (kind === EndKind.Stopped) this.#recordStopped(target, assignment);
     if (kind !== EndKind.Done) return {};
     const { attempt, task } = assignment;
@@ -123,7 +125,7 @@
     const { definition, job } = task.step;
     const run = this.#runs.get(attempt);
     if (run === undefined || attempt.phase !== AttemptPhase.Running) return;
-    if (!attempt.isListed || attempt.pace !== FULL_PACE) return;
+    if (!attempt.isListed || attempt.isEndAwaited || attempt.pace !== FULL_PACE) return;
     // The run is known to have lasted until the last report.
     const elapsedMs = (target.reportedAt ?? 0) - attempt.startedAt;
     if (elapsedMs < Math.max(run.expectedMs, BOUND_GROWTH * run.boundAtMs)) return;
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -138,11 +138,13 @@
   }
 
   #sendIfDue(target: TargetRecord): void {
-    const { partitionGuard, clock, fleet, leasePolicy, post, targetPort, term } = this.#context;
+    const { partitionGuard, clock, fleet, leasePolicy, post, reconciliation, targetPort, term } =
+      this.#context;
     const { now } = clock;
     if (target.isRenewalInFlight || now < target.renewNotBefore) return;
     if (now < target.retryAcknowledgementAt) return;
-    if (!target.isRegistered && target.assignmentCount === 0) {
+    const isNeeded = target.assignmentCount > 0 || reconciliation.isPartlyReported(target.id);
+    if (!target.isRegistered && !isNeeded) {
       fleet.forget(target);
       return;
     }
--- a/packages/execution/src/ports.ts
+++ b/packages/execution/src/ports.ts
@@ -83,8 +83,12 @@
   readonly clockMs: number;
   /** Start of the incarnation that answered, Unix milliseconds; undefined if it is not reported. */
   readonly bornAt: number | undefined;
+  /** All active runs. */
   readonly running: readonly ActiveRun[];
+  /** The oldest ended runs that were not acknowledged. */
   readonly ended: readonly EndedRun[];
+  /** Whether `ended` was cut off: a run in neither list may have ended, in whatever way. */
+  readonly hasMoreEnds: boolean;
 }
 
 /** An order to renew the leases of all runs on a target, answered with a report. */
--- a/packages/execution/src/reconciliation.ts
+++ b/packages/execution/src/reconciliation.ts
@@ -8,12 +8,15 @@
  * a predecessor started are known once every target on which it may hold leases has reported under
  * the new fencing token. If a target does not answer, the owner waits until every lease of earlier
  * terms has expired. A silent target delays only its own pool. If the predecessor had already
- * recorded it as silent, it delays only the tasks that were assigned to it.
+ * recorded it as silent, it delays only the tasks that were assigned to it. A target whose report
+ * was cut off is awaited for as long as it has leases: its further ends may be those of any task.
  */
 export class Reconciliation {
   /** Longest time in milliseconds, on this node's clock, for which a lease of an earlier term lasts. */
   readonly leaseMs: number;
   readonly #pending = new Map<string, LeasedTarget>();
+  /** Services of targets that have reported, but not all of their ended runs, by target id. */
+  readonly #partial = new Map<string, string>();
   readonly #deadline: number;
   /** Monotonic time from which a predecessor that still runs knows that it is deposed. */
   readonly #predecessorDeposedAt: number;
@@ -35,13 +38,31 @@
     if (!this.#pending.has(target.id)) this.#pending.set(target.id, target);
   }
 
-  /** Records that a target has reported under the new token; true if its report was pending. */
+  /** Records that a target has reported all its runs under the new token; true if it was awaited. */
   recordReport(targetId: string): boolean {
-    return this.#pending.delete(targetId);
+    const isCompleted = this.#partial.delete(targetId);
+    return this.#pending.delete(targetId) || isCompleted;
+  }
+
+  /** Records that the first report of a target under the new token does not list all ended runs. */
+  recordPartialReport(targetId: string, service: string): void {
+    this.#pending.delete(targetId);
+    this.#partial.set(targetId, service);
+  }
+
+  /** Whether a target has reported, but not all of its ended runs. */
+  isPartlyReported(targetId: string): boolean {
+    return this.#partial.has(targetId);
+  }
+
+  /** Lists the ids of the targets that have not listed all ended runs yet. */
+  listPartial(): readonly string[] {
+    return [...this.#partial.keys()];
   }
 
   /** Whether a task that was accepted in an earlier term and that no target has reported may start. */
   canStartInherited(taskName: string, service: string, now: number): boolean {
+    if (this.#isPoolPartlyReported(service)) return false;
     if (now >= this.#deadline) return true;
     for (const target of this.#pending.values()) {
       if (target.service !== service) continue;
@@ -56,6 +77,7 @@
    * targets that have not seen the new token.
    */
   canStartNew(service: string, now: number): boolean {
+    if (this.#isPoolPartlyReported(service)) return false;
     if (now >= this.#predecessorDeposedAt) return true;
     return ![...this.#pending.values()].some((target) => target.service === service);
   }
@@ -64,4 +86,8 @@
   listPending(now: number): readonly LeasedTarget[] {
     return now >= this.#deadline ? [] : [...this.#pending.values()];
   }
+
+  #isPoolPartlyReported(service: string): boolean {
+    return [...this.#partial.values()].includes(service);
+  }
 }
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -14,6 +14,7 @@
 import { buildAttempt, type RunOrders } from './run-orders.ts';
 import type { ActiveRun, EndedRun, TargetReport } from './ports.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
+import { UnlistedRuns } from './unlisted-runs.ts';
 
 /** Percent of full speed at which a filler runs by default. */
 const FULL_PACE = 100;
@@ -30,11 +31,13 @@
   readonly #context: OwnerContext;
   readonly #orders: RunOrders;
   readonly #lookup: JobLookup;
+  readonly #unlisted: UnlistedRuns;
 
   constructor(context: OwnerContext, orders: RunOrders, lookup: JobLookup) {
     this.#context = context;
     this.#orders = orders;
     this.#lookup = lookup;
+    this.#unlisted = new UnlistedRuns(context, orders);
   }
 
   /**
@@ -42,19 +45,14 @@
    * change that must be stored before the report's ended runs are acknowledged; 0 if there is none.
    */
   apply(target: TargetRecord, report: TargetReport, sentAt: number): number {
-    const { clock, logger, reconciliation } = this.#context;
+    const { clock, reconciliation } = this.#context;
     const { now } = clock;
     target.unansweredCalls = 0;
     this.#checkIncarnation(target, report);
     target.recordClock(report.clockMs, now);
-    target.reportedAt = now;
     if (report.running.length > 0) target.recordActiveRuns(reconciliation.leaseMs, now);
-    if (reconciliation.recordReport(target.id)) {
-      logger.writeInfo('target settled', {
-        target: target.id,
-        awaited: reconciliation.listPending(now).length,
-      });
-    }
+    this.#recordReconciled(target, report);
+    target.reportedAt = now;
     let changeNumber = 0;
     for (const ended of report.ended) {
       if (ended.sequence <= target.appliedThrough) continue;
@@ -75,16 +73,34 @@
       if (assignment !== undefined) listedAssignments.add(assignment);
     }
     for (const assignment of [...target.assignments]) {
-      if (!listedAssignments.has(assignment)) this.#applyUnlisted(target, assignment, sentAt);
+      if (!listedAssignments.has(assignment))
+        this.#unlisted.apply(target, assignment, { sentAt, hasMoreEnds: report.hasMoreEnds });
     }
     return changeNumber;
   }
 
+  /** Records what the report says about runs of earlier terms. */
+  #recordReconciled(target: TargetRecord, { ended, hasMoreEnds }: TargetReport): void {
+    const { clock, logger, reconciliation } = this.#context;
+    const awaited = reconciliation.listPending(clock.now).length;
+    if (!hasMoreEnds) {
+      if (reconciliation.recordReport(target.id))
+        logger.writeInfo('target settled', { target: target.id, awaited });
+    } else if (target.reportedAt === undefined) {
+      reconciliation.recordPartialReport(target.id, target.entry.service);
+      logger.writeWarning('target partly settled', {
+        target: target.id,
+        listedEnds: ended.length,
+        awaited,
+      });
+    }
+  }
+
   /** Records all runs of a target as lost: their leases have expired or its incarnation has ended. */
   recordAllLost(target: TargetRecord, reason: LossReason): void {
     const { crashes } = this.#context;
     const lost = [...target.assignments];
-    for (const assignment of lost) this.#recordLost(target, assignment, reason);
+    for (const assignment of lost) this.#unlisted.recordLost(target, assignment, reason);
     if (reason === LossReason.LeasesExpired) crashes.recordSilentLoss(target, lost);
     if (reason === LossReason.OtherIncarnation) crashes.recordCrash(target, lost);
   }
@@ -142,6 +158,7 @@
     if (assignment === undefined) return undefined;
     const { attempt, task } = assignment;
     attempt.isListed = true;
+    attempt.isEndAwaited = false;
     task.step.job.hasStarted = true;
     attempt.percent = running.percent;
     attempt.reading = running.reading;
@@ -266,47 +283,6 @@
     }
   }
 
-  /**
-   * Handles an assigned run that the report of `sentAt` does not list: its start may be in flight, it
-   * may never have begun, or it is lost.
-   */
-  #applyUnlisted(target: TargetRecord, assignment: Assignment, sentAt: number): void {
-    const { attempt } = assignment;
-    if (attempt.phase === AttemptPhase.Starting || sentAt <= attempt.expectedInReportsAfter) return;
-    if (attempt.phase === AttemptPhase.Running) {
-      this.#recordLost(target, assignment, 'not listed');
-      return;
-    }
-    const isStartPrevented =
-      attempt.stopAnsweredAt !== undefined && sentAt > attempt.stopAnsweredAt;
-    if (isStartPrevented || sentAt > attempt.expiresAt) {
-      this.#recordLost(target, assignment, 'never began');
-      return;
-    }
-    this.#orders.resolveUncertain(assignment);
-  }
-
-  #recordLost(target: TargetRecord, assignment: Assignment, reason: string): void {
-    const { clock, fleet, logger, term } = this.#context;
-    const { task, attempt } = assignment;
-    const { now } = clock;
-    const { leaseGrantedAt, leasesExpireAt, reportedAt } = target;
-    fleet.unassign(target, assignment);
-    task.endedAt = now;
-    logger.writeWarning('run lost', {
-      request: task.step.job.id,
-      task: task.name,
-      run: attempt.run,
-      target: target.id,
-      phase: attempt.phase,
-      reason,
-      epoch: term.epoch,
-      leaseEndedMs: Math.round(now - leasesExpireAt),
-      ...(leaseGrantedAt === undefined ? {} : { grantAgeMs: Math.round(now - leaseGrantedAt) }),
-      ...(reportedAt === undefined ? {} : { reportAgeMs: Math.round(now - reportedAt) }),
-    });
-  }
-
   /** Whether neither the job of a task nor its end is known yet; requests a lookup then. */
   #isJobUnknown(taskName: string): boolean {
     const id = parseTaskName(taskName)?.id;
--- a/packages/execution/src/run-copier.ts
+++ b/packages/execution/src/run-copier.ts
@@ -123,6 +123,7 @@
     const { active, clock, durations } = this.#options.context;
     const { definition, job } = task.step;
     if (!canHaveCopies(definition) || attempt.phase !== AttemptPhase.Running) return undefined;
+    if (attempt.isEndAwaited) return undefined;
     if (task.isDone || task.isSuspect || task.attempts.length !== 1 || this.#log.hasCopied(task))
       return undefined;
     const record = active.get(job.id);
--- a/packages/execution/src/run-expiry.ts
+++ b/packages/execution/src/run-expiry.ts
@@ -21,6 +21,7 @@
   /** Checks all targets. */
   sweep(): void {
     const { clock, fleet } = this.#context;
+    this.#sweepPartialReports();
     for (const target of [...fleet.targets]) {
       const lostAt = target.leasesExpireAt + LEASE_EXPIRY_MARGIN_MS;
       if (target.assignmentCount > 0 && clock.now > lostAt) {
@@ -32,4 +33,17 @@
       }
     }
   }
+
+  /** Stops awaiting ends that no longer count, since the leases of their targets have lapsed. */
+  #sweepPartialReports(): void {
+    const { clock, fleet, logger, reconciliation } = this.#context;
+    for (const id of reconciliation.listPartial()) {
+      const target = fleet.find(id);
+      const isLeased =
+        target !== undefined && clock.now <= target.leasesExpireAt + LEASE_EXPIRY_MARGIN_MS;
+      if (isLeased) continue;
+      reconciliation.recordReport(id);
+      logger.writeInfo('unlisted ends void', { target: id });
+    }
+  }
 }
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -191,6 +191,7 @@
     percent: 0,
     readyNotBefore: 0,
     isListed: false,
+    isEndAwaited: false,
     reading: 0,
     pace: 100,
     expectedInReportsAfter: now,
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -281,7 +281,7 @@
 }
 
 export function createReport(changes: Partial<TargetReport> = {}): TargetReport {
-  return { clockMs: 100, bornAt: 1, running: [], ended: [], ...changes };
+  return { clockMs: 100, bornAt: 1, running: [], ended: [], hasMoreEnds: false, ...changes };
 }
 
 export function createRunning(task: string, run: number): ActiveRun {
--- a/packages/forwarding/src/handshake.ts
+++ b/packages/forwarding/src/handshake.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '@currantgap/telemetry';
 
 /** Value of the `upgrade` header; both ends must speak the same version. */
-const FORWARDING_PROTOCOL = 'currantgap-forwarding-1';
+const FORWARDING_PROTOCOL = 'currantgap-forwarding-2';
 
 /** What a forwarder tells about its node. */
 export interface ForwarderInfo {
--- a/packages/forwarding/src/messages.ts
+++ b/packages/forwarding/src/messages.ts
@@ -57,6 +57,8 @@
   readonly bornAt?: number;
   readonly running: readonly (readonly [string, number, string, number, number])[];
   readonly ended: readonly (readonly [number, string, number, EndKind, string])[];
+  /** Left out unless the list of ended runs was cut off. */
+  readonly hasMoreEnds?: true;
 }
 
 /** Result of a call on the wire. */
@@ -125,7 +127,7 @@
   result: Result<TargetReport, LeaseRenewalFault>,
 ): WireResult {
   if (result.isErr()) return { call, outcome: result.error };
-  const { clockMs, bornAt, running, ended } = result.value;
+  const { clockMs, bornAt, running, ended, hasMoreEnds } = result.value;
   return {
     call,
     report: {
@@ -133,6 +135,7 @@
       ...(bornAt === undefined ? {} : { bornAt }),
       running: running.map((run) => [run.task, run.run, run.checkpoint, run.percent, run.reading]),
       ended: ended.map((end) => [end.sequence, end.task, end.run, end.kind, end.checkpoint]),
+      ...(hasMoreEnds ? { hasMoreEnds } : {}),
     },
   };
 }
@@ -148,6 +151,7 @@
     bornAt: report.bornAt,
     running: report.running.map(decodeActiveRun),
     ended: report.ended.map(decodeEndedRun),
+    hasMoreEnds: report.hasMoreEnds === true,
   });
 }
 
--- a/packages/forwarding/test/harness.ts
+++ b/packages/forwarding/test/harness.ts
@@ -26,6 +26,7 @@
   bornAt: 1,
   running: [{ task: 'job.0.0.0', run: 1, checkpoint: 'c', percent: 50, reading: 7 }],
   ended: [{ sequence: 4, task: 'job.0.0.1', run: 2, kind: EndKind.Done, checkpoint: '' }],
+  hasMoreEnds: true,
 };
 
 export const RENEWAL: LeaseRenewalOrder = {
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -35,6 +35,8 @@
   readyNotBefore: number;
   /** Whether a report of the target has listed the run. */
   isListed: boolean;
+  /** Whether the run is no longer active, although its end is not listed yet. */
+  isEndAwaited: boolean;
   /** Tail latency of a serving task in milliseconds; CPU use of other tasks in millicores. */
   reading: number;
   /** Percentage of full speed that the target last accepted for a filler, 0 to 100. */
--- a/packages/standins/src/platform/standin-target.ts
+++ b/packages/standins/src/platform/standin-target.ts
@@ -38,6 +38,8 @@
 
 type WireBody = Readonly<Record<string, string | number | undefined>>;
 
+/** Ended runs that one answer lists at most. */
+const LISTED_ENDS = 500;
 const POLL_MS = 10;
 const REGISTRATION_RETRY_MS = 500;
 const LATE_START_DELAY_MS = 1_500;
@@ -190,9 +192,14 @@
       100,
       0,
     ]);
-    const finished = this.#unacknowledgedEnds.map(
-      ({ sequence, record: { task, run, endKind } }) => [sequence, task, run, endKind, ''],
-    );
+    const listed = this.#unacknowledgedEnds.slice(0, LISTED_ENDS);
+    const finished = listed.map(({ sequence, record: { task, run, endKind } }) => [
+      sequence,
+      task,
+      run,
+      endKind,
+      '',
+    ]);
     sendJson(response, 200, { clock_ms: this.#clockMs, born: this.#bornAt, running, finished });
   }
 
