fix(execution): keep the last definition of a dropped queue for successors

Callers saw submissions stand still after their queue was dropped and the owner was stopped, with all targets idle; one was shown as failed after one of three attempts.

Cause: only the memory of one owner held the definition that a queue had last. A successor skipped the jobs and took the limit of attempts for 1.

Why it works: the stored row of a route holds its last definition beside its services, and all jobs take their route from there; it is kept until a minute after the last open job of a dropped route. An unknown limit of attempts fails no job; one that is found to be reached fails it at once.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -74,9 +74,9 @@
   return Date.now();
 }
 
-/** Gets the number of failed runs after which a task of the route fails; 1 without a route. */
+/** Gets the number of failed runs after which a task of the route fails; unlimited while it is not known. */
 export function getMaximumAttempts(route: Route | undefined): number {
-  return route?.maxAttempts ?? 1;
+  return route?.maxAttempts ?? Infinity;
 }
 
 /** Lists the services on whose targets tasks of a job may run, also those that its route has left. */
--- a/packages/execution/src/intake.ts
+++ b/packages/execution/src/intake.ts
@@ -34,13 +34,12 @@
 
   /** Updates the routes of all active jobs; jobs of a removed route keep its last definition. */
   refreshRoutes(): void {
-    const { active, getOperatorView, routeHistory } = this.#context;
-    const { configuration } = getOperatorView();
-    if (configuration === undefined) return;
+    const { active, routeHistory } = this.#context;
     routeHistory.refresh();
-    const routes = new Map(configuration.routes.map((route) => [route.name, route]));
-    for (const record of active.values()) {
-      record.route = routes.get(record.job.stored.route) ?? record.route;
+    for (const record of [...active.values()]) {
+      const isNew = record.route === undefined;
+      record.route = routeHistory.findDefinition(record.job.stored.route);
+      if (isNew) this.#failIfExhausted(record);
     }
   }
 
@@ -65,19 +64,29 @@
     else {
       const record = this.#buildRecord(job, isInherited);
       active.set(job.id, record);
+      if (record.route === undefined) {
+        logger.writeWarning('route unknown', { request: job.id, route: job.stored.route });
+      }
       if (!isInherited && record.route !== undefined) {
         arrivals.record(record.route.service, job, clock.now);
       }
     }
   }
 
+  /** Fails a job whose tasks used up their attempts while the limit was not known. */
+  #failIfExhausted({ job, route }: JobRecord): void {
+    if (route === undefined || !job.failIfExhausted(route.maxAttempts)) return;
+    for (const assignment of job.listAttempts()) this.#orders.stop(assignment, 'job failed');
+    this.#reportProcessor.enqueueLedgerWrite(job.id);
+  }
+
   #cancel(job: Job): void {
     for (const assignment of job.listAttempts()) this.#orders.stop(assignment, 'cancelled');
     this.#reportProcessor.enqueueLedgerWrite(job.id);
   }
 
   #buildRecord(job: Job, isInherited: boolean): JobRecord {
-    const { clock, getOperatorView } = this.#context;
+    const { clock, getOperatorView, routeHistory } = this.#context;
     const { team, acceptedAt, route } = job.stored;
     const { configuration } = getOperatorView();
     const weight = configuration?.teams.find(({ name }) => name === team)?.weight;
@@ -87,7 +96,7 @@
       arrivedAt: clock.now - ageMs,
       isInherited,
       isWithinWeight: weight === undefined || this.#weights.record(team, weight, acceptedAt),
-      route: configuration?.routes.find(({ name }) => name === route),
+      route: routeHistory.findDefinition(route),
     };
   }
 }
--- a/packages/execution/src/route-history.ts
+++ b/packages/execution/src/route-history.ts
@@ -12,8 +12,16 @@
 /** Milliseconds between searches for services that a route no longer uses. */
 const SEARCH_PERIOD_MS = 1_000;
 
+/**
+ * Milliseconds for which the definition of a dropped route is kept after its last open job: longer than
+ * any node takes to learn that the route was dropped and to store a submission.
+ */
+const RETENTION_MS = 60_000;
+
 /** What is stored of a route. */
 interface RouteEntry {
+  /** Definition in the last configuration that had the route. */
+  readonly definition: Route;
   /** Services whose targets may run tasks of the route. */
   readonly services: readonly string[];
 }
@@ -30,9 +38,10 @@
 }
 
 /**
- * Keeps the stored record of the services to which each route sends its tasks, or has sent tasks that
- * may still run there. A service is stored before the first start on one of its targets, so that a
- * successor knows whose reports to await, whatever configuration it and its predecessors have seen.
+ * Keeps the stored record of each route: its last definition, for the jobs that it had when it was
+ * dropped, and the services to which it sends its tasks, or has sent tasks that may still run there.
+ * A service is stored before the first start on one of its targets, so that a successor knows whose
+ * reports to await, whatever configuration it and its predecessors have seen.
  */
 export class RouteHistory {
   readonly #options: RouteHistoryOptions;
@@ -56,16 +65,22 @@
     this.refresh();
   }
 
-  /** Adds the services of the present configuration. */
+  /** Takes over the definitions of the present configuration. */
   refresh(): void {
     if (!this.#isLoaded) return;
-    for (const route of this.#options.getConfiguration()?.routes ?? []) {
-      const services = this.listServices(route.name);
-      if (!services.includes(route.service))
-        this.#change(route.name, { services: [...services, route.service] });
+    for (const definition of this.#options.getConfiguration()?.routes ?? []) {
+      const known = this.listServices(definition.name);
+      const { service } = definition;
+      const services = known.includes(service) ? known : [...known, service];
+      this.#change(definition.name, { definition, services });
     }
   }
 
+  /** Finds the last definition of a route, also after it was dropped. */
+  findDefinition(name: string): Route | undefined {
+    return this.#rows.get(name)?.entry?.definition;
+  }
+
   /** Whether a successor would know that tasks of the route may run on its service. */
   canStart({ name, service }: Route): boolean {
     return this.#rows.get(name)?.isSurelyStored(service) === true;
@@ -76,12 +91,13 @@
     return this.#rows.get(name)?.entry?.services ?? [];
   }
 
-  /** Removes services that no run of their route can use any more. */
+  /** Removes services that no run of their route can use any more, and dropped routes without jobs. */
   sweep(): void {
     const { clock, fleet, reconciliation } = this.#options;
     const { now } = clock;
     if (!this.#isLoaded || now < this.#searchNotBefore) return;
     this.#searchNotBefore = now + SEARCH_PERIOD_MS;
+    this.#removeDropped(now);
     // Until then, runs of earlier terms may be unknown.
     const areRunsKnown =
       reconciliation.listPending(now).length === 0 &&
@@ -91,13 +107,23 @@
   }
 
   #removeUnused(): void {
-    const routes = this.#options.getConfiguration()?.routes ?? [];
-    for (const { name, service } of routes) {
-      const services = this.listServices(name);
-      if (services.length < 2) continue;
-      const used = this.#listUsedServices(name).add(service);
-      const kept = services.filter((known) => used.has(known));
-      if (kept.length < services.length) this.#change(name, { services: kept });
+    for (const [name, { entry }] of this.#rows) {
+      if (entry === undefined || entry.services.length < 2) continue;
+      const { definition, services } = entry;
+      const used = this.#listUsedServices(name).add(definition.service);
+      this.#change(name, { definition, services: services.filter((known) => used.has(known)) });
+    }
+  }
+
+  #removeDropped(now: number): void {
+    const configuration = this.#options.getConfiguration();
+    if (configuration === undefined) return;
+    const needed = new Set(configuration.routes.map(({ name }) => name));
+    for (const { job } of this.#options.active.values()) needed.add(job.stored.route);
+    for (const [name, row] of this.#rows) {
+      if (needed.has(name)) row.neededAt = now;
+      else if (row.isRemoved) this.#rows.delete(name);
+      else if (now > row.neededAt + RETENTION_MS) this.#change(name, undefined);
     }
   }
 
@@ -111,13 +137,19 @@
     return used;
   }
 
-  #change(name: string, entry: RouteEntry): void {
-    const { logger, writer } = this.#options;
+  #change(name: string, entry: RouteEntry | undefined): void {
+    const { clock, logger, writer } = this.#options;
     const row = this.#rows.get(name) ?? new RouteRow(name, undefined, 0);
     this.#rows.set(name, row);
+    row.neededAt = Math.max(row.neededAt, entry === undefined ? 0 : clock.now);
+    if (JSON.stringify(entry) === JSON.stringify(row.entry)) return;
     row.entry = entry;
     writer.addUrgent(row);
-    logger.writeInfo('route services', { route: name, services: entry.services.join(' ') });
+    logger.writeInfo('route recorded', {
+      route: name,
+      service: entry?.definition.service ?? '',
+      services: entry?.services.join(' ') ?? '',
+    });
   }
 }
 
@@ -126,8 +158,10 @@
   readonly table = ROUTE_TABLE;
   readonly key: string;
   version: number;
-  /** What the row should hold; undefined if it was malformed. */
+  /** What the row should hold; undefined if it is to be removed, or was malformed. */
   entry: RouteEntry | undefined;
+  /** Monotonic time at which the route was last configured or had an open job, in milliseconds. */
+  neededAt = 0;
   /** All values that the store may hold: the one that was stored last, and those sent since. */
   #possible: readonly (RouteEntry | undefined)[];
   #sent: RouteEntry | undefined;
@@ -140,6 +174,11 @@
     this.#possible = [entry];
   }
 
+  /** Whether the row is not, and should not be, in the store. */
+  get isRemoved(): boolean {
+    return this.entry === undefined && this.version === 0;
+  }
+
   /** Whether the store has this service in the row, whichever write was the last to succeed. */
   isSurelyStored(service: string): boolean {
     return [...this.#possible, this.entry].every((entry) => entry?.services.includes(service));
@@ -159,10 +198,11 @@
 function decodeEntry(value: string): RouteEntry | undefined {
   try {
     const row = JSON.parse(value) as Partial<RouteEntry> | null;
+    const definition: Partial<Route> | undefined = row?.definition;
     const services: unknown = row?.services;
-    const isValid =
-      Array.isArray(services) && services.every((service) => typeof service === 'string');
-    return isValid ? { services: services } : undefined;
+    if (typeof definition?.service !== 'string') return undefined;
+    if (typeof definition.maxAttempts !== 'number' || !Array.isArray(services)) return undefined;
+    return row as RouteEntry;
   } catch {
     return undefined;
   }
--- a/packages/execution/test/route-history.test.ts
+++ b/packages/execution/test/route-history.test.ts
@@ -8,6 +8,8 @@
 import { createRouteRow, ROUTE, TermHarness } from './term-harness.ts';
 
 const MOVED = { ...ROUTE, service: 'velves' };
+/** Longer than the definition of a dropped route is kept without jobs. */
+const RETENTION_MS = 61_000;
 /** Longer than the pause between two searches for services that are no longer used. */
 const SEARCH_MS = 1_500;
 
@@ -79,6 +81,22 @@
     await waitUntil(() => readServices(harness).join() === 'velves');
   });
 
+  it('are removed with the definition some time after a dropped route has had its last job', () => {
+    const { context } = harness;
+    const { routeHistory, active } = context;
+    const job = harness.addJob('0000000000000001', [{}]);
+    harness.configuration = { ...harness.configuration, routes: [] };
+    harness.advance(RETENTION_MS);
+    routeHistory.sweep();
+    harness.advance(SEARCH_MS);
+    routeHistory.sweep();
+    assert.deepEqual(routeHistory.findDefinition(ROUTE.name)?.service, ROUTE.service);
+    active.delete(job.id);
+    harness.advance(RETENTION_MS);
+    routeHistory.sweep();
+    assert.equal(routeHistory.findDefinition(ROUTE.name), undefined);
+  });
+
   it('are replaced if the stored row is malformed', async () => {
     const { routeHistory } = harness.context;
     routeHistory.load([{ ...createRouteRow(ROUTE.name, []), value: '{"services":1}', version: 0 }]);
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -293,9 +293,9 @@
   }
 }
 
-/** Creates the stored record of the services on which tasks of a route may run. */
+/** Creates the stored record of a route, with the services on which its tasks may run. */
 export function createRouteRow(name: string, services: readonly string[]): Row {
-  const value = JSON.stringify({ services });
+  const value = JSON.stringify({ definition: { ...ROUTE, name }, services });
   return { table: ROUTE_TABLE, part: OWNER_PART, key: name, value, version: 1, isDeleted: false };
 }
 
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -128,6 +128,15 @@
     return EndEffect.JobFailed;
   }
 
+  /** Fails the job if a task has this many failed runs; returns whether it did. */
+  failIfExhausted(maximumAttempts: number): boolean {
+    const tasks = [...this.occurrences.values()].flatMap(({ steps }) =>
+      steps.flatMap((step) => (step.definition.isPersistent ? [] : step.tasks)),
+    );
+    const isExhausted = tasks.some((task) => !task.isDone && task.failures >= maximumAttempts);
+    return isExhausted && this.fail();
+  }
+
   /** Fails the job; returns false, and changes nothing, if it has already ended. */
   fail(): boolean {
     if (this.isEnded) return false;
