fix(execution,jobs,ingress): bound rows and transactions by what the store takes

After a schedule with 2,880 due occurrences was accepted, no end of any task was acknowledged and no submission of any queue was shown as completed.

Cause: all due occurrences were opened at once, each with an entry in the progress row; the writer knew no limit of the store and sent the rejected transaction, with all else that was due, again without end.

Why it works: a job opens due occurrences while at most 2,000 of its tasks are open, and stores only those of which something is known. What cannot be kept is answered 413 at once. Digits of bit sets are read and written in linear time.

--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -4,6 +4,7 @@
 export * from './intake-tables.ts';
 export * from './job-index.ts';
 export { NORMAL_LEASE_MS } from './lease-policy.ts';
+export { MAXIMUM_VALUE_BYTES } from './fenced-writer.ts';
 export { LEDGER_TABLE } from './ledger.ts';
 export * from './messages.ts';
 export * from './owner.ts';
--- a/packages/execution/src/job-index.ts
+++ b/packages/execution/src/job-index.ts
@@ -3,6 +3,7 @@
 import type { Row } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 import { findCancelledId, type EndedJob } from './intake-tables.ts';
+import type { JoinedRow } from './row-parts.ts';
 
 /** A job with the owner's scheduling data. */
 export interface JobRecord {
@@ -32,7 +33,7 @@
   readonly #archived = new Map<string, EndedJob>();
   /** Unix milliseconds at which jobs were found to have been purged, by id. */
   readonly #purged = new Map<string, number>();
-  readonly #ledgerRows = new Map<string, Row>();
+  readonly #ledgerRows = new Map<string, JoinedRow>();
   readonly #logger: Logger;
 
   constructor(logger: Logger) {
@@ -40,7 +41,7 @@
   }
 
   /** Stores ledger rows until the submissions of their jobs are read from the intake. */
-  loadLedgerRows(rows: readonly Row[]): void {
+  loadLedgerRows(rows: readonly JoinedRow[]): void {
     for (const row of rows) this.#ledgerRows.set(row.key, row);
   }
 
@@ -111,6 +112,7 @@
     this.#ledgerRows.delete(row.key);
     applyLedgerRow(job, ledger.value);
     job.ledgerVersion = ledger.version;
+    job.ledgerParts = ledger.parts;
     return job;
   }
 }
--- a/packages/execution/src/ledger.ts
+++ b/packages/execution/src/ledger.ts
@@ -1,6 +1,6 @@
 import { encodeLedgerRow, type Job } from '@currantgap/jobs';
 import { JobState } from '@currantgap/model';
-import { FencedRow, type FencedWriter } from './fenced-writer.ts';
+import { FencedRow, MAXIMUM_VALUE_BYTES, type FencedWriter } from './fenced-writer.ts';
 
 /** Table with the progress of each job, written by the owner. */
 export const LEDGER_TABLE = 'ledger';
@@ -53,6 +53,7 @@
   constructor(job: Job, onStored: () => void) {
     super();
     this.#job = job;
+    this.parts = job.ledgerParts;
     this.#onStored = onStored;
   }
 
@@ -70,7 +71,7 @@
 
   encode(): string | undefined {
     this.#encodedState = this.#job.state;
-    return this.isRemoved ? undefined : encodeLedgerRow(this.#job);
+    return this.isRemoved ? undefined : encodeLedgerRow(this.#job, MAXIMUM_VALUE_BYTES);
   }
 
   handleStored(): void {
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -16,6 +16,7 @@
 import { findJobState } from './job-state.ts';
 import { LEDGER_TABLE } from './ledger.ts';
 import type { OwnerMessage } from './messages.ts';
+import type { JoinedRow } from './row-parts.ts';
 import { RunExpiry } from './run-expiry.ts';
 import { isUncertain, RunOrders } from './run-orders.ts';
 import type { OwnerOptions } from './owner-options.ts';
@@ -303,7 +304,7 @@
     });
   }
 
-  #loadProgress(getRows: (table: string) => readonly Row[]): void {
+  #loadProgress(getRows: (table: string) => readonly JoinedRow[]): void {
     const { jobs, reconciliation, roster, routeHistory, term } = this.#context;
     for (const target of term.predecessor?.targets ?? []) reconciliation.expectReport(target);
     roster.load(getRows(ROSTER_TABLE));
--- a/packages/execution/src/term-feeds.ts
+++ b/packages/execution/src/term-feeds.ts
@@ -2,12 +2,12 @@
   FeedConsumer,
   type FeedConsumerOptions,
   type PageSizer,
-  type Row,
   type Store,
 } from '@currantgap/store';
 import type { OwnerContext } from './context.ts';
 import { INTAKE_PARTS, INTAKE_TABLE } from './intake-tables.ts';
 import { readOwnerRows } from './owner-rows.ts';
+import type { JoinedRow } from './row-parts.ts';
 
 /** Milliseconds between a response of the intake's change feed and the next poll. */
 const INTAKE_POLL_PAUSE_MS = 15;
@@ -23,7 +23,7 @@
   readonly progressTables: readonly string[];
   readonly registryTable: string;
   /** Receives the rows of the progress tables, before any row of the intake is posted. */
-  readonly onProgress: (getRows: (table: string) => readonly Row[]) => void;
+  readonly onProgress: (getRows: (table: string) => readonly JoinedRow[]) => void;
 }
 
 /**
--- a/packages/execution/test/ledger.test.ts
+++ b/packages/execution/test/ledger.test.ts
@@ -5,6 +5,7 @@
 import { StoreFailure, waitUntil } from '@currantgap/standins';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { LEDGER_TABLE } from '../src/ledger.ts';
+import { joinParts } from '../src/row-parts.ts';
 import { TermHarness } from './term-harness.ts';
 
 const ID = '0000000000000001';
@@ -35,7 +36,7 @@
       const row = harness.store.peek(ROW);
       assert.ok(row);
       const successor = new TermHarness();
-      successor.context.jobs.loadLedgerRows([row]);
+      successor.context.jobs.loadLedgerRows(joinParts([row]));
       assert.equal(successor.addJob(ID, [{}]).hasStarted, hasStarted);
     }
   });
--- a/packages/execution/test/take-over-harness.ts
+++ b/packages/execution/test/take-over-harness.ts
@@ -2,7 +2,7 @@
 import type { Configuration, EndKind, Route, Step, TargetEntry } from '@currantgap/model';
 import { FENCE_ROW, type LeaseRow } from '@currantgap/ownership';
 import { MemoryStore, waitUntil } from '@currantgap/standins';
-import { PageSizer, type Row } from '@currantgap/store';
+import { PageSizer } from '@currantgap/store';
 import { VirtualClock } from '@currantgap/tasks';
 import { Logger } from '@currantgap/telemetry';
 import { err, ok, type Result } from 'neverthrow';
@@ -34,6 +34,8 @@
 export class FakeTargets extends TargetPort {
   readonly starts: { readonly target: string; readonly task: string; readonly run: number }[] = [];
   readonly silent = new Set<string>();
+  /** Saved points with which tasks were started. */
+  readonly checkpoints = new Map<string, string>();
   /** Ends up to this number were acknowledged, by target. */
   readonly acknowledged = new Map<string, number>();
   readonly #running = new Map<string, ActiveRun[]>();
@@ -44,8 +46,10 @@
     await sleep(0);
     if (this.silent.has(id)) return StartOutcome.Unknown;
     this.starts.push({ target: id, task, run });
-    const active = { task, run, checkpoint, percent: 50, reading: 0 };
-    this.#running.set(id, [...(this.#running.get(id) ?? []), active]);
+    if (checkpoint !== '') this.checkpoints.set(task, checkpoint);
+    const runs = this.#running.get(id) ?? [];
+    runs.push({ task, run, checkpoint: '', percent: 50, reading: 0 });
+    this.#running.set(id, runs);
     return StartOutcome.Accepted;
   }
 
@@ -149,9 +153,9 @@
     await this.#put(INTAKE_TABLE, getIntakePart(id), id, value);
   }
 
-  /** Finds the stored progress of a job. */
-  findLedgerRow(id: string): Row | undefined {
-    return this.store.peek({ table: LEDGER_TABLE, part: FENCE_ROW.part, key: id });
+  /** Lists the keys of the stored rows of progress. */
+  listLedgerKeys(): readonly string[] {
+    return this.store.listKeys(LEDGER_TABLE);
   }
 
   /** Waits until the targets have begun this many runs; returns the targets by task. */
--- a/packages/ingress/src/ingress-handler.ts
+++ b/packages/ingress/src/ingress-handler.ts
@@ -5,9 +5,10 @@
   getCancelKey,
   getIntakePart,
   INTAKE_TABLE,
+  MAXIMUM_VALUE_BYTES,
 } from '@currantgap/execution';
-import { encodeStoredJob } from '@currantgap/jobs';
-import { FaultKind, type Fault, type Submission } from '@currantgap/model';
+import { encodeStoredJob, estimateLedgerBytes } from '@currantgap/jobs';
+import { createFault, FaultKind, type Fault, type Submission } from '@currantgap/model';
 import type { Store } from '@currantgap/store';
 import type { Logger } from '@currantgap/telemetry';
 import type { Result } from 'neverthrow';
@@ -187,19 +188,12 @@
     const request = { id, route, team, submission: submission.value };
     const refusal = this.#gate.decide(request, performance.now());
     if (refusal !== undefined) return this.#refuse(call, refusal);
+    const job = { id, route: route.name, team, acceptedAt: Date.now() };
+    const value = encodeStoredJob({ ...job, submission: submission.value });
+    const tooLarge = this.#findTooLarge(submission.value, value);
+    if (tooLarge !== undefined) return buildFaultResponse(413, tooLarge);
     const outcome = await this.#writer.write({
-      row: {
-        table: INTAKE_TABLE,
-        part,
-        key: id,
-        value: encodeStoredJob({
-          id,
-          route: route.name,
-          team,
-          acceptedAt: Date.now(),
-          submission: submission.value,
-        }),
-      },
+      row: { table: INTAKE_TABLE, part, key: id, value },
       absent: [INTAKE_TABLE, ENDED_TABLE].map((table) => ({ table, part, key: id })),
       replacesRefusalsThrough: this.#writer.findVersionBefore(call.receivedAt),
       deadline: call.deadline,
@@ -209,6 +203,19 @@
     return buildWriteResponse(outcome, 'The submission was not stored and will not run.');
   }
 
+  /** Finds out whether the store cannot keep a submission or its progress, whatever its load. */
+  #findTooLarge(submission: Submission, value: string): Fault | undefined {
+    const { maximumValueBytes } = this.#options.store;
+    const bytes = Buffer.byteLength(value);
+    if (bytes > maximumValueBytes) {
+      const remedy = `Shorten it by ${bytes - maximumValueBytes} bytes.`;
+      return createFault(FaultKind.InvalidRequest, 'The submission is too long.', remedy);
+    }
+    if (estimateLedgerBytes(submission) <= MAXIMUM_VALUE_BYTES) return undefined;
+    const remedy = 'Split it into several submissions.';
+    return createFault(FaultKind.InvalidRequest, 'The submission has too many tasks.', remedy);
+  }
+
   /**
    * Refuses a submission for load. The refusal is stored, unless the submission is, so that a write
    * by another node which is still in flight cannot succeed after it.
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -156,6 +156,26 @@
     assert.equal((await call('POST', `/a/${ID}`, { body: BODY })).status, 401);
   });
 
+  // Review case 5: a submission that the store cannot keep, itself or its progress, must not hold up others.
+  it('answers 413 at once to a submission that the store cannot keep', async () => {
+    const id = '00000000000000fe';
+    const { maximumValueBytes } = store;
+    const step = { count: 1, cpu: 1, mem_mb: 1 };
+    const results = [];
+    for (const steps of [[step], [{ ...step, count: 100_000 }]]) {
+      store.maximumValueBytes = steps[0]?.count === 1 ? 100 : maximumValueBytes;
+      results.push(
+        await call('POST', `/a/${id}`, { key: 'good', body: JSON.stringify({ steps }) }),
+      );
+    }
+    store.maximumValueBytes = maximumValueBytes;
+    for (const { status, retryAfter } of results)
+      assert.deepEqual([status, retryAfter], [413, undefined]);
+    assert.match(JSON.stringify(results[0]?.body), /too long/);
+    assert.match(JSON.stringify(results[1]?.body), /too many tasks/);
+    assert.equal(store.listKeys('intake').includes(id), false);
+  });
+
   // Guards against refusals of which no log line tells by how old a configuration they were made.
   it('logs a refused request with the configuration and its age', async () => {
     const lines: string[] = [];
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -2,6 +2,7 @@
 export * from './critical-path.ts';
 export * from './job.ts';
 export * from './ledger-row.ts';
+export * from './number-ranges.ts';
 export * from './occurrence.ts';
 export * from './step.ts';
 export * from './stored-job.ts';
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,8 +1,15 @@
 import { EndKind, JobState, type StoredJob } from '@currantgap/model';
+import { NumberRanges } from './number-ranges.ts';
 import { Occurrence } from './occurrence.ts';
 import type { StepRun } from './step.ts';
 import { isFailure, type Attempt, type TaskRun } from './task.ts';
 
+/**
+ * Tasks of a schedule from which no further due occurrence is opened before others are done: far more
+ * than run at the same time, and few enough that their progress fits into the rows of one transaction.
+ */
+const MAXIMUM_OPEN_TASKS = 2_000;
+
 /** Effect of a run's end on its job. */
 export enum EndEffect {
   /** The task is not done and waits for another run. */
@@ -17,14 +24,16 @@
 /** An accepted submission and the progress of its tasks. */
 export class Job {
   readonly stored: StoredJob;
-  /** Open occurrences by number: those that are due or have had a run, and are not done. */
+  /** Open occurrences by number: the oldest that are due, and those that have had a run, not done. */
   readonly occurrences = new Map<number, Occurrence>();
-  readonly doneOccurrences = new Set<number>();
+  readonly doneOccurrences = new NumberRanges();
   state = JobState.Pending;
   /** Whether one of its tasks is known to have begun, in this or an earlier term. */
   hasStarted = false;
   /** Version of the job's row in the ledger; 0 if there is none. */
   ledgerVersion = 0;
+  /** Rows over which the ledger row is spread, as far as is known. */
+  ledgerParts = 1;
   /** State in the ledger row. Callers see a job as running until its end is stored there. */
   storedState = JobState.Pending;
   /**
@@ -57,14 +66,19 @@
     return this.stored.submission.steps.some((step) => step.isPersistent);
   }
 
-  /** Opens all occurrences that are due; `wallNow` is in Unix milliseconds. */
+  /**
+   * Opens the occurrences that are due, as many as may be open at the same time; `wallNow` is in Unix
+   * milliseconds. Those of lasting tasks never end, so that none waits for others.
+   */
   openDueOccurrences(wallNow: number): void {
     const { iterations, firstRunAt, intervalMs } = this.stored.submission;
     if (this.isEnded) return;
     const last = this.isScheduled
       ? countDueOccurrences(wallNow, firstRunAt, intervalMs, iterations) - 1
       : 0;
+    const limit = this.isPersistent ? Infinity : this.#maximumOpenOccurrences;
     for (let number = this.#openedThrough + 1; number <= last; number += 1) {
+      if (this.occurrences.size >= limit && !this.occurrences.has(number)) return;
       this.#openedThrough = number;
       if (this.doneOccurrences.has(number)) continue;
       this.openOccurrence(number);
@@ -151,6 +165,12 @@
     return true;
   }
 
+  get #maximumOpenOccurrences(): number {
+    const { steps } = this.stored.submission;
+    const tasks = steps.reduce((sum, { count }) => sum + count, 0);
+    return Math.max(1, Math.floor(MAXIMUM_OPEN_TASKS / tasks));
+  }
+
   #finishTask(task: TaskRun): EndEffect {
     task.step.finishTask(task);
     const { occurrence } = task.step;
--- a/packages/jobs/src/ledger-row.ts
+++ b/packages/jobs/src/ledger-row.ts
@@ -1,6 +1,13 @@
-import type { JobState } from '@currantgap/model';
+import { JobState, type Submission } from '@currantgap/model';
 import type { Job } from './job.ts';
 
+/** Begin of a ledger row, which `encodeLedgerRow` writes. */
+const STATE_PATTERN = /\{"state":"([a-z]+)"/;
+/** Bytes that a task with two failed runs takes, with its key, `"STEP.INDEX":[RUN,RUN],`. */
+const BYTES_PER_TASK = 40;
+/** Tasks that one hexadecimal digit of a bit set describes. */
+const TASKS_PER_DIGIT = 4;
+
 /** Stored progress of one open occurrence; its records are keyed by task, as `STEP.INDEX`. */
 interface OccurrenceRow {
   /** Done tasks of each step as a hexadecimal bit set; bit n is the task with index n. */
@@ -18,20 +25,34 @@
   /** False if no task has begun, as where only the crash of a target that was ordered to is stored. */
   readonly hasStarted?: boolean;
   readonly endedAt?: number;
-  readonly doneOccurrences?: readonly number[];
+  /** Numbers of done occurrences; a range as its first and last number. */
+  readonly doneOccurrences?: readonly (number | readonly [number, number])[];
+  /** Open occurrences of which anything is known; the others are as at their begin. */
   readonly open?: Readonly<Record<string, OccurrenceRow>>;
 }
 
 /**
- * Encodes what must survive a take-over: done tasks, failed runs, crashes, checkpoints and the state.
+ * Encodes what must survive a take-over: done tasks, failed runs, crashes, checkpoints and the state. A
+ * row of more than `maximumBytes` is encoded without checkpoints, which only save work.
  */
-export function encodeLedgerRow(job: Job): string {
+export function encodeLedgerRow(job: Job, maximumBytes = Infinity): string {
+  const row = encodeRow(job, { hasCheckpoints: true });
+  if (Buffer.byteLength(row) <= maximumBytes) return row;
+  return encodeRow(job, { hasCheckpoints: false });
+}
+
+/** Estimates the bytes of a row without checkpoints at most, if no task fails more than twice. */
+export function estimateLedgerBytes({ steps }: Submission): number {
+  return steps.reduce((sum, { count }) => sum + count, 0) * BYTES_PER_TASK;
+}
+
+function encodeRow(job: Job, content: { readonly hasCheckpoints: boolean }): string {
   const row: LedgerRow = {
     state: job.state,
     ...(job.hasStarted ? {} : { hasStarted: false }),
     ...(job.endedAt > 0 ? { endedAt: job.endedAt } : {}),
-    ...(job.doneOccurrences.size > 0 ? { doneOccurrences: [...job.doneOccurrences] } : {}),
-    ...(job.isEnded ? {} : { open: encodeOpenOccurrences(job) }),
+    ...(job.doneOccurrences.size > 0 ? { doneOccurrences: job.doneOccurrences.encode() } : {}),
+    ...(job.isEnded ? {} : { open: encodeOpenOccurrences(job, content) }),
   };
   return JSON.stringify(row);
 }
@@ -43,18 +64,27 @@
   job.storedState = row.state;
   job.hasStarted = row.hasStarted ?? true;
   job.endedAt = row.endedAt ?? 0;
-  for (const number of row.doneOccurrences ?? []) job.doneOccurrences.add(number);
+  job.doneOccurrences.addEncoded(row.doneOccurrences ?? []);
   for (const [number, open] of Object.entries(row.open ?? {})) {
     applyOccurrence(job, Number(number), open);
   }
 }
 
-/** Reads only the state from a ledger row. Throws SyntaxError if the row is not JSON. */
+/**
+ * Reads only the state from a ledger row, or from the first part of one that is spread over several rows.
+ * Throws SyntaxError if the row does not begin with a state.
+ */
 export function readLedgerState(value: string): JobState {
-  return (JSON.parse(value) as LedgerRow).state;
+  const state = STATE_PATTERN.exec(value)?.[1];
+  const known = Object.values(JobState).find((name: string) => name === state);
+  if (known === undefined) throw new SyntaxError('a ledger row begins with its state');
+  return known;
 }
 
-function encodeOpenOccurrences(job: Job): Record<string, OccurrenceRow> {
+function encodeOpenOccurrences(
+  job: Job,
+  { hasCheckpoints }: { readonly hasCheckpoints: boolean },
+): Record<string, OccurrenceRow> {
   const open: Record<string, OccurrenceRow> = {};
   for (const occurrence of job.occurrences.values()) {
     const failedRuns: Record<string, readonly number[]> = {};
@@ -65,9 +95,14 @@
         const taskKey = `${step.index}.${task.index}`;
         if (task.failures > 0 && !task.isDone) failedRuns[taskKey] = [...task.failedRuns];
         if (task.isSuspect && !task.isDone) crashedOn[taskKey] = [...task.crashedOn];
-        if (task.checkpoint !== '' && !task.isDone) checkpoints[taskKey] = task.checkpoint;
+        if (hasCheckpoints && task.checkpoint !== '' && !task.isDone)
+          checkpoints[taskKey] = task.checkpoint;
       }
     }
+    const isUntouched =
+      occurrence.steps.every((step) => step.openTaskCount === step.tasks.length) &&
+      [failedRuns, crashedOn, checkpoints].every((tasks) => Object.keys(tasks).length === 0);
+    if (isUntouched) continue;
     open[String(occurrence.number)] = {
       done: occurrence.steps.map((step) => encodeBits(step.tasks.map((task) => task.isDone))),
       ...(Object.keys(failedRuns).length > 0 ? { failedRuns } : {}),
@@ -81,23 +116,32 @@
 function applyOccurrence(job: Job, number: number, row: OccurrenceRow): void {
   const occurrence = job.openOccurrence(number);
   for (const step of occurrence.steps) {
-    const bits = BigInt(`0x${row.done[step.index] ?? '0'}`);
+    const bits = row.done[step.index] ?? '0';
     for (const task of step.tasks) {
       const taskKey = `${step.index}.${task.index}`;
       for (const run of row.failedRuns?.[taskKey] ?? []) task.failedRuns.add(run);
       for (const target of row.crashedOn?.[taskKey] ?? []) task.crashedOn.add(target);
       task.checkpoint = row.checkpoints?.[taskKey] ?? '';
-      if (((bits >> BigInt(task.index)) & 1n) === 0n || task.isDone) continue;
+      if (!isBitSet(bits, task.index) || task.isDone) continue;
       task.isDone = true;
       step.openTaskCount -= 1;
     }
   }
 }
 
+/** Encodes flags as a hexadecimal number whose lowest bit is the first flag. */
 function encodeBits(flags: readonly boolean[]): string {
-  let bits = 0n;
-  for (const [position, flag] of flags.entries()) {
-    if (flag) bits |= 1n << BigInt(position);
+  const digits: string[] = [];
+  for (let start = 0; start < flags.length; start += TASKS_PER_DIGIT) {
+    const bits = flags.slice(start, start + TASKS_PER_DIGIT);
+    const digit = bits.reduce((sum, flag, position) => sum + (flag ? 1 << position : 0), 0);
+    digits.push(digit.toString(16));
   }
-  return bits.toString(16);
+  const text = digits.reverse().join('').replace(/^0+/, '');
+  return text === '' ? '0' : text;
+}
+
+function isBitSet(bits: string, index: number): boolean {
+  const digit = bits[bits.length - 1 - Math.floor(index / TASKS_PER_DIGIT)] ?? '0';
+  return ((Number.parseInt(digit, 16) >> (index % TASKS_PER_DIGIT)) & 1) === 1;
 }
--- a/packages/jobs/test/job.test.ts
+++ b/packages/jobs/test/job.test.ts
@@ -140,6 +140,56 @@
   });
 });
 
+// Review case 5: the memory of an owner and the row of a job are bounded by what is open, not by what is due.
+describe('a schedule with many due occurrences', () => {
+  const MINUTE_MS = 60_000;
+
+  function createSchedule(iterations: number): Job {
+    const schedule = { iterations, firstRunAt: 0, intervalMs: MINUTE_MS };
+    return new Job(createStored([{ count: 6 }, { count: 6, after: [0] }], schedule));
+  }
+
+  function finishFirst(job: Job): void {
+    const [occurrence] = job.occurrences.values();
+    const tasks = (occurrence?.steps ?? []).flatMap((step) => step.tasks);
+    for (const task of tasks) job.applyRunEnd(task, 1, EndKind.Done, 1);
+  }
+
+  it('opens the oldest ones, and another one for each that is done', () => {
+    const job = createSchedule(50_000);
+    job.openDueOccurrences(50_000 * MINUTE_MS);
+    const open = job.occurrences.size;
+    assert.ok(open > 1 && open < 1_000);
+    finishFirst(job);
+    job.openDueOccurrences(50_000 * MINUTE_MS);
+    assert.deepEqual([...job.occurrences.keys()].at(-1), open);
+    assert.ok(encodeLedgerRow(job).length < 200);
+  });
+
+  it('goes on where it was after a change of owner, and completes', () => {
+    const total = 5_000;
+    const job = createSchedule(total);
+    const finish = (owner: Job, count: number): void => {
+      for (let done = 0; done < count; done += 1) {
+        owner.openDueOccurrences(total * MINUTE_MS);
+        finishFirst(owner);
+      }
+    };
+    finish(job, 3_000);
+    const successor = createSchedule(total);
+    applyLedgerRow(successor, encodeLedgerRow(job));
+    assert.equal(successor.doneOccurrences.size, 3_000);
+    finish(successor, total - 3_000);
+    assert.equal(successor.state, JobState.Completed);
+  });
+
+  it('is read from a row of an earlier version, which lists each number', () => {
+    const job = createSchedule(10);
+    applyLedgerRow(job, '{"state":"running","doneOccurrences":[0,1,2,5],"open":{}}');
+    assert.deepEqual(job.doneOccurrences.encode(), [[0, 2], 5]);
+  });
+});
+
 describe('ledger row', () => {
   it('restores done tasks, failed runs and checkpoints', () => {
     const stored = createStored([{ count: 40 }, { after: [0] }]);
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -99,7 +99,12 @@
     super();
     this.#settings = settings;
     this.#logger = logger;
-    this.#store = new HttpStore(() => settings.current.storeAddress, this.#httpClient);
+    this.#store = new HttpStore(
+      () => settings.current.storeAddress,
+      this.#httpClient,
+      undefined,
+      () => settings.current.storeRowBytes,
+    );
     this.#probeStore = new HttpStore(() => settings.current.storeAddress, this.#httpClient);
     this.#pageSizer = new PageSizer(settings.current.linkMbps);
     this.#operatorFeed = new OperatorFeedConsumer(this.#store, this.#pageSizer, logger, () => {
--- a/packages/standins/src/memory-store.ts
+++ b/packages/standins/src/memory-store.ts
@@ -31,6 +31,9 @@
 }
 
 const PAGE_ROWS = 500;
+const MAXIMUM_TRANSACTION_BYTES = 1_048_576;
+/** Bytes of the base64 encoding of three bytes. */
+const BASE64_BYTES = 4;
 /** Milliseconds of queued transactions per part above which further ones are refused. */
 const MAXIMUM_QUEUE_MS = 1_000;
 const KEY_SEPARATOR = '\uffff';
@@ -47,6 +50,10 @@
   transactionMs = 0;
   /** Number of transactions that were sent, whatever their outcome. */
   commitCount = 0;
+  /** 65,536 bytes in base64, as the platform's rows have. */
+  maximumValueBytes = 49_152;
+  /** Entries that a transaction may have. */
+  maximumEntries = 100;
   readonly seenVersions = new SeenVersions();
   readonly #rows = new Map<string, Row>();
   #history: Row[] = [];
@@ -71,6 +78,11 @@
     return this.#rows.get(encodeKey(key));
   }
 
+  /** Lists the keys of all rows of a table directly. */
+  listKeys(table: string): readonly string[] {
+    return [...this.#rows.values()].filter((row) => row.table === table).map(({ key }) => key);
+  }
+
   /** Discards the feed history, as the platform may do at any time. */
   dropHistory(): void {
     this.#history = [];
@@ -87,6 +99,7 @@
 
   async commit(transaction: Transaction): Promise<Result<number, StoreFault>> {
     this.commitCount += 1;
+    if (this.#isBeyondLimit(transaction)) return err(createFault(StoreFaultKind.Invalid));
     const isAdmitted = await this.#waitForTurn(transaction);
     if (!isAdmitted) return err(createFault(StoreFaultKind.Refused));
     const fault = this.#findFault();
@@ -128,6 +141,17 @@
     return changed ?? ok({ rows: [], version: this.#version, currentAt: this.now });
   }
 
+  /** Whether the platform would reject the transaction for good. */
+  #isBeyondLimit({ conditions, puts, removals }: Transaction): boolean {
+    const sizes = puts.map(({ value }) => Buffer.byteLength(value));
+    const bytes = sizes.reduce((sum, size) => sum + Math.ceil(size / 3) * BASE64_BYTES, 0);
+    return (
+      conditions.length + puts.length + removals.length > this.maximumEntries ||
+      sizes.some((size) => size > this.maximumValueBytes) ||
+      bytes > MAXIMUM_TRANSACTION_BYTES
+    );
+  }
+
   /** Waits for the part's earlier transactions; returns false if its queue is full. */
   async #waitForTurn({ conditions, puts, removals }: Transaction): Promise<boolean> {
     const [first] = [...conditions, ...puts, ...removals];
--- a/packages/store/src/store.ts
+++ b/packages/store/src/store.ts
@@ -99,6 +99,8 @@
    * before the first response.
    */
   abstract get now(): number | undefined;
+  /** Longest value of a row, in bytes; a transaction with a longer one is invalid. */
+  abstract get maximumValueBytes(): number;
   /** Versions that responses have named. */
   abstract get seenVersions(): SeenVersions;
   /** Applies a transaction and returns its version. */
