fix(execution): await all tasks of a silent target with ends that are not stored

The roster row of a silent target names the tasks that may run there, from which a successor concludes that no other task does. It left out tasks whose ends the owner had read and not stored yet, as while the store is slow. If the owner is lost then, its successor starts them again, and the target's end is acknowledged once it answers (TWICE).

The row names no tasks, so that all tasks of the pool wait, until these ends are stored. The test failed before (the row named tasks at once).

--- a/packages/execution/src/target-roster.ts
+++ b/packages/execution/src/target-roster.ts
@@ -135,9 +135,11 @@
   }
 }
 
+/** Describes what may run on a target, or have ended there without being stored in the ledger. */
 function describeTarget(target: TargetRecord): LeasedTarget {
-  const { id, entry, unansweredCalls } = target;
-  if (unansweredCalls === 0) return { id, service: entry.service };
+  const { id, entry, unansweredCalls, appliedThrough, acknowledgedThrough } = target;
+  const hasUnstoredEnds = target.hasUnappliedEnds || appliedThrough > acknowledgedThrough;
+  if (unansweredCalls === 0 || hasUnstoredEnds) return { id, service: entry.service };
   return {
     id,
     service: entry.service,
--- a/packages/execution/test/target-roster.test.ts
+++ b/packages/execution/test/target-roster.test.ts
@@ -69,6 +69,19 @@
     assert.deepEqual(await readPending(harness), ['t1']);
   });
 
+  // Guards against a task whose end there is not stored yet: a successor would start it elsewhere (TWICE).
+  it('lists a silent target with all tasks until the ends that it has reported are stored', async () => {
+    const { harness, target } = await createHarness();
+    const task = assignTask(harness, target);
+    target.appliedThrough = 1;
+    target.unansweredCalls = 1;
+    await sweepUntil(harness, target, RosterState.Listed);
+    assert.deepEqual(await readPending(harness), ['t1']);
+    target.acknowledgedThrough = 1;
+    await sweepUntil(harness, target, RosterState.Silent);
+    assert.deepEqual(await readPending(harness), [`t1: ${task}`]);
+  });
+
   it('lists the tasks of a silent target, and gives it no work until it is listed again', async () => {
     const { harness, target } = await createHarness();
     const task = assignTask(harness, target);
