perf(jobs): allocate the records of failures of a task when it has some

Each open task had three empty sets, for failed runs, crashes and targets that failed it.

Change: they are allocated with their first entry; callers read them as before and add through methods of the task.

--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -262,7 +262,7 @@
     const step = task.step.definition;
     const { job } = task.step;
     if (kind === EndKind.Failed) {
-      task.failedOn.add(target.id);
+      task.recordFailedTarget(target.id);
       if (!step.isPersistent) target.health.recordFailure(job.id, clock.now);
     }
     if (assignment === undefined) return {};
--- a/packages/execution/test/planner.test.ts
+++ b/packages/execution/test/planner.test.ts
@@ -86,7 +86,7 @@
     const busy = harness.addTarget('t2');
     busy.used.add({ cpuMillis: CORE, memoryMb: 0, gpus: 0 });
     const job = harness.addJob(ID, [{}]);
-    job.openOccurrence(0).steps[0]?.tasks[0]?.failedOn.add('t1');
+    job.openOccurrence(0).steps[0]?.tasks[0]?.recordFailedTarget('t1');
     assert.deepEqual(plan(harness), [`${ID}.0.0.0 on t2`]);
   });
 
--- a/packages/execution/test/run-copier.test.ts
+++ b/packages/execution/test/run-copier.test.ts
@@ -81,8 +81,8 @@
     for (const harm of ['crashedOn', 'failedRuns'] as const) {
       const harness = new CopyHarness();
       harness.addTarget('t2');
-      if (harm === 'crashedOn') harness.task.crashedOn.add('t9@1');
-      else harness.task.failedRuns.add(1);
+      if (harm === 'crashedOn') harness.task.recordCrash('t9@1');
+      else harness.task.recordFailedRun(1);
       harness.straggle();
       harness.plan();
       assert.deepEqual(harness.starts, ['t1']);
--- a/packages/jobs/src/crash.ts
+++ b/packages/jobs/src/crash.ts
@@ -37,7 +37,7 @@
   const suspects = (unlisted.length > 0 ? unlisted : recent).map(({ task }) => task);
   const isCertain = unlisted.length === 1;
   const limit = isCertain ? MAXIMUM_CRASHES : MAXIMUM_SUSPECTED_CRASHES;
-  for (const task of suspects) task.crashedOn.add(incarnation);
+  for (const task of suspects) task.recordCrash(incarnation);
   return { suspects, culprits: suspects.filter((task) => task.crashedOn.size >= limit) };
 }
 
--- a/packages/jobs/src/ledger-row.ts
+++ b/packages/jobs/src/ledger-row.ts
@@ -119,8 +119,8 @@
     const bits = row.done[step.index] ?? '0';
     for (const task of step.tasks) {
       const taskKey = `${step.index}.${task.index}`;
-      for (const run of row.failedRuns?.[taskKey] ?? []) task.failedRuns.add(run);
-      for (const target of row.crashedOn?.[taskKey] ?? []) task.crashedOn.add(target);
+      for (const run of row.failedRuns?.[taskKey] ?? []) task.recordFailedRun(run);
+      for (const target of row.crashedOn?.[taskKey] ?? []) task.recordCrash(target);
       task.checkpoint = row.checkpoints?.[taskKey] ?? '';
       if (!isBitSet(bits, task.index) || task.isDone) continue;
       task.isDone = true;
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -70,6 +70,6 @@
   /** Records a failed run of a task, or of all members of a gang. Each run number counts once. */
   recordFailure(task: TaskRun, run: number): void {
     const failed = this.definition.isGang ? this.tasks : [task];
-    for (const member of failed) member.failedRuns.add(run);
+    for (const member of failed) member.recordFailedRun(run);
   }
 }
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -52,6 +52,10 @@
   stopAnsweredAt: number | undefined;
 }
 
+/** Shared by all tasks without entries: most tasks never fail, and large jobs have many. */
+const NO_RUNS: ReadonlySet<number> = new Set();
+const NO_NAMES: ReadonlySet<string> = new Set();
+
 /** One task and its runs. Times are milliseconds of the owner's monotonic clock. */
 export class TaskRun {
   readonly step: StepRun;
@@ -62,21 +66,12 @@
   isDone = false;
   /** Number of the run that was done first; 0 if none was in this term. */
   doneRun = 0;
-  /**
-   * Numbers of the runs that failed. A set, since after a take-over the new owner reads ends again
-   * that its predecessor has already counted.
-   */
-  readonly failedRuns = new Set<number>();
-  /**
-   * Incarnations of targets that crashed while a run of this task was suspected of it. A set, since
-   * several owners may learn of the same crash.
-   */
-  readonly crashedOn = new Set<string>();
+  #failedRuns: Set<number> | undefined;
+  #crashedOn: Set<string> | undefined;
   checkpoint = '';
   /** Time before which the task is not started again. */
   notBefore = 0;
-  /** Ids of the targets on which a run of the task failed; other targets are preferred. */
-  readonly failedOn = new Set<string>();
+  #failedOn: Set<string> | undefined;
   /** Time at which the last run ended; the downtime of a persistent task counts from it. */
   endedAt = 0;
 
@@ -86,6 +81,40 @@
     this.name = `${step.name}.${index}`;
   }
 
+  /**
+   * Numbers of the runs that failed. A set, since after a take-over the new owner reads ends again
+   * that its predecessor has already counted.
+   */
+  get failedRuns(): ReadonlySet<number> {
+    return this.#failedRuns ?? NO_RUNS;
+  }
+
+  /**
+   * Incarnations of targets that crashed while a run of this task was suspected of it. A set, since
+   * several owners may learn of the same crash.
+   */
+  get crashedOn(): ReadonlySet<string> {
+    return this.#crashedOn ?? NO_NAMES;
+  }
+
+  /** Ids of the targets on which a run of the task failed; other targets are preferred. */
+  get failedOn(): ReadonlySet<string> {
+    return this.#failedOn ?? NO_NAMES;
+  }
+
+  recordFailedRun(run: number): void {
+    this.#failedRuns = (this.#failedRuns ?? new Set()).add(run);
+  }
+
+  /** Records the crash of an incarnation of a target under the task. */
+  recordCrash(incarnation: string): void {
+    this.#crashedOn = (this.#crashedOn ?? new Set()).add(incarnation);
+  }
+
+  recordFailedTarget(targetId: string): void {
+    this.#failedOn = (this.#failedOn ?? new Set()).add(targetId);
+  }
+
   /** Whether a target has crashed under the task, so that its next run may crash another one. */
   get isSuspect(): boolean {
     return this.crashedOn.size > 0;
