fix(execution): keep a dropped queue's definition until its jobs are read

A loaded row counts as needed from the time at which it was loaded. The test failed before (the definition was undefined). A submission also takes its route from the configuration again, which may be newer than the record.

--- a/packages/execution/src/intake.ts
+++ b/packages/execution/src/intake.ts
@@ -96,7 +96,9 @@
       arrivedAt: clock.now - ageMs,
       isInherited,
       isWithinWeight: weight === undefined || this.#weights.record(team, weight, acceptedAt),
-      route: routeHistory.findDefinition(route),
+      route:
+        configuration?.routes.find(({ name }) => name === route) ??
+        routeHistory.findDefinition(route),
     };
   }
 }
--- a/packages/execution/src/route-history.ts
+++ b/packages/execution/src/route-history.ts
@@ -59,7 +59,10 @@
       const entry = decodeEntry(value);
       if (entry === undefined)
         this.#options.logger.writeError('route row not decodable', { route: key });
-      this.#rows.set(key, new RouteRow(key, entry, version));
+      const row = new RouteRow(key, entry, version);
+      // Its jobs are not read yet.
+      row.neededAt = this.#options.clock.now;
+      this.#rows.set(key, row);
     }
     this.#isLoaded = true;
     this.refresh();
--- a/packages/execution/test/route-history.test.ts
+++ b/packages/execution/test/route-history.test.ts
@@ -97,6 +97,14 @@
     assert.equal(routeHistory.findDefinition(ROUTE.name), undefined);
   });
 
+  it('are kept by an owner that has not read the jobs of a dropped route yet', () => {
+    const { routeHistory } = harness.context;
+    harness.advance(RETENTION_MS);
+    routeHistory.load([createRouteRow('dropped', ['kartes'])]);
+    routeHistory.sweep();
+    assert.equal(routeHistory.findDefinition('dropped')?.service, 'kartes');
+  });
+
   it('are replaced if the stored row is malformed', async () => {
     const { routeHistory } = harness.context;
     routeHistory.load([{ ...createRouteRow(ROUTE.name, []), value: '{"services":1}', version: 0 }]);
