--- a/review/6/case.js
+++ b/review/6/case.js
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createId } from '../standins-2/deployment.js';
 import { playCase } from '../standins-2/play.js';
+import { findTwice } from '../standins-2/twice.js';
 
 /** Milliseconds of a task. */
 const TASK_MS = 9_000;
@@ -15,8 +16,8 @@
   // The first process owns the fleet; the second one is alone in the zone of the first executor.
   await deployment.startNodes(['riga-a']);
   await deployment.startNodes(['riga-b']);
-  const near = await deployment.openExecutor({ zone: 'riga-b', cores: 16 });
-  await deployment.openExecutor({ zone: 'riga-a', cores: 32 });
+  const near = await deployment.openExecutor({ zone: 'riga-b', cores: 8 });
+  await deployment.openExecutor({ zone: 'riga-a', cores: 16 });
   await sleep(4_000);
   const [owner, frozen] = deployment.nodes;
   if (deployment.findOwner() !== owner) throw new Error('another process owns the fleet');
@@ -35,7 +36,7 @@
       id: near.id,
       port: Number(near.address.split(':')[1]),
       zone: 'riga-b',
-      cores: 16,
+      cores: 8,
     });
   }
   await sleep(FREEZE_MS - (performance.now() - frozenAt));
@@ -44,19 +45,3 @@
   await sleep(3 * TASK_MS);
   return findTwice(deployment.runs);
 });
-
-/** Finds a task with two runs at the same time, or one that began after an acknowledged end `done`. */
-function findTwice(runs) {
-  for (const run of runs) {
-    for (const other of runs) {
-      if (other === run || other.task !== run.task || other.startedAt < run.startedAt) continue;
-      const isParallel = other.startedAt < (run.endedAt ?? Infinity);
-      const isAgain = run.how === 'done' && run.isAcknowledged === true;
-      if (isParallel || isAgain) {
-        const kind = isParallel ? 'at the same time as' : 'after the acknowledged end of';
-        return `TWICE: ${other.task} run ${other.run} at ${other.executor} began ${kind} run ${run.run} at ${run.executor}`;
-      }
-    }
-  }
-  return undefined;
-}
