--- a/review/standins-2/node-process.js
+++ b/review/standins-2/node-process.js
@@ -68,6 +68,14 @@
     this.#child?.kill(name);
   }
 
+  /** Tells the process to stop, kills it after `graceMs` milliseconds, and waits until it has ended. */
+  async stop(graceMs) {
+    const timer = setTimeout(() => this.signal('SIGKILL'), graceMs);
+    this.signal('SIGTERM');
+    await once(this.#child, 'exit');
+    clearTimeout(timer);
+  }
+
   /** Kills the process and waits until it has ended. */
   async kill() {
     const child = this.#child;
