--- a/review/standins-2/executor.js
+++ b/review/standins-2/executor.js
@@ -13,6 +13,8 @@
  * in milliseconds, and the resources that they request.
  */
 export class Executor {
+  /** Whether the process runs. */
+  isUp = true;
   #options;
   #server = new JsonServer((call) => this.#handle(call));
   #startedAt = performance.now();
@@ -62,6 +64,11 @@
     return this.#options.capacity;
   }
 
+  /** Whether the executor takes work. */
+  get isReady() {
+    return this.isUp && this.#state === 'ready';
+  }
+
   /** Runs that are active. */
   get runs() {
     return [...this.#active.values()];
@@ -89,6 +96,8 @@
 
   /** Ends the process: all that runs on it ends with it, and nobody is told. */
   end(reason) {
+    if (!this.isUp) return;
+    this.isUp = false;
     for (const timer of this.#timers) clearInterval(timer);
     this.#server.close();
     for (const run of this.runs) {
@@ -181,6 +190,8 @@
     this.#options.record.write(`stop of ${task} run ${run} at ${this.id}`);
     const entry = this.#active.get(task);
     if (entry?.run === run) {
+      if (entry.isStopping) return this.#answer(200, {});
+      entry.isStopping = true;
       clearTimeout(entry.timer);
       entry.timer = setTimeout(() => this.#end(entry, 'stopped'), this.#options.stopMs);
     } else this.#ended.set(task, Math.max(run, this.#ended.get(task) ?? 0));
--- a/review/standins-2/node-process.js
+++ b/review/standins-2/node-process.js
@@ -60,7 +60,10 @@
     const log = openSync(`${this.#directory}/${this.name}.log`, 'a');
     const [program, ...args] = COMMAND;
     const env = { ...process.env, CURRANTGAP_SETTINGS: this.#settingsPath };
-    this.#child = spawn(program, args, { cwd: ROOT, env, stdio: ['ignore', log, log] });
+    const child = spawn(program, args, { cwd: ROOT, env, stdio: ['ignore', log, log] });
+    this.#child = child;
+    // Ends the process also where the case ends by an error.
+    process.once('exit', () => child.kill('SIGKILL'));
   }
 
   /** @param {NodeJS.Signals} name */
