fix(forwarding,execution): calls expire, and what a stop prevents holds for one incarnation

Cause: a forwarder made calls of any age, and the owner took an answered stop and a lapsed lease as true for later incarnations of the target too.

So a call either reaches the incarnation that the owner reasons about, or none.

--- a/packages/execution/src/index.ts
+++ b/packages/execution/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission-publisher.ts';
+export * from './call-timing.ts';
 export * from './context.ts';
 export { CopyOutcome } from './copy-log.ts';
 export * from './intake-tables.ts';
--- a/packages/execution/src/messages.ts
+++ b/packages/execution/src/messages.ts
@@ -48,6 +48,8 @@
       readonly kind: 'stopped';
       readonly target: TargetRecord;
       readonly assignment: Assignment;
+      /** Incarnation of the target that was known when the stop was sent. */
+      readonly knownBornAt: number | undefined;
       readonly outcome: OrderOutcome;
     }
   /** The ledger is stored up to and including a change. */
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -22,7 +22,7 @@
 import type { OwnerOptions } from './owner-options.ts';
 import { Pacer } from './pacer.ts';
 import { Planner } from './planner.ts';
-import { StartOutcome } from './ports.ts';
+import { isUnanswered, StartOutcome } from './ports.ts';
 import { Quarantine } from './quarantine.ts';
 import { RegistryReader } from './registry-reader.ts';
 import { ReportProcessor } from './report-processor.ts';
@@ -248,14 +248,13 @@
         break;
       case 'started':
         this.#orders.applyStartOutcome(message.target, message.assignment, message.outcome);
-        if (message.outcome === StartOutcome.Unknown)
-          this.#leaseRenewer.requestReport(message.target);
+        if (isUnanswered(message.outcome)) this.#leaseRenewer.requestReport(message.target);
         if (message.outcome === StartOutcome.TicketInvalid) {
           this.#advice.removeTicket(message.assignment.task.step, message.target.id);
         }
         break;
       case 'stopped':
-        this.#orders.applyStopOutcome(message.target, message.assignment, message.outcome);
+        this.#orders.applyStopOutcome(message);
         if (isUncertain(message.assignment)) this.#leaseRenewer.requestReport(message.target);
         break;
       case 'written':
--- a/packages/execution/src/ports.ts
+++ b/packages/execution/src/ports.ts
@@ -9,8 +9,17 @@
   readonly dataCentre: string;
 }
 
+/** An order whose meaning belongs to one incarnation, so that it must not reach a later one. */
+export interface PerishableOrder {
+  /**
+   * Time on the boot clock of the node that makes the call, in milliseconds, after which the call is
+   * no longer sent; undefined while no node has been chosen.
+   */
+  readonly sendBefore?: number;
+}
+
 /** An order to start a run of a task. */
-export interface StartOrder {
+export interface StartOrder extends PerishableOrder {
   /** Task name, `ID.K.STEP.INDEX`. */
   readonly task: string;
   readonly run: number;
@@ -43,10 +52,20 @@
   OtherIncarnation = 'other-lifetime',
   /** The order was not sent. */
   Unsent = 'unsent',
-  /** No answer arrived: the target may have carried the order out, or may still do so. */
+  /**
+   * No answer arrived and the call was given up: the target may have carried the order out, or may still do
+   * so, but the call can reach no later incarnation.
+   */
+  Abandoned = 'abandoned',
+  /** Nothing is known: the call may be under way, and reach the target or a later incarnation. */
   Unknown = 'unknown',
 }
 
+/** Whether a target may have carried out, or may still carry out, a start with this outcome. */
+export function isUnanswered(outcome: StartOutcome): boolean {
+  return outcome === StartOutcome.Abandoned || outcome === StartOutcome.Unknown;
+}
+
 /** Outcome of an order to stop a run or to change its pace. */
 export enum OrderOutcome {
   Accepted = 'accepted',
@@ -92,7 +111,7 @@
 }
 
 /** An order to renew the leases of all runs on a target, answered with a report. */
-export interface LeaseRenewalOrder {
+export interface LeaseRenewalOrder extends PerishableOrder {
   readonly token: number;
   /** Highest sequence of ended runs that are stored; the target need not list them again. */
   readonly acknowledgedThrough: number;
@@ -116,7 +135,12 @@
 
 /** Calls to targets. No method rejects: failures are part of the results. */
 export abstract class TargetPort {
-  abstract start(target: TargetAddress, order: StartOrder): Promise<StartOutcome>;
+  /** Starts a run; `signal` gives the call up. */
+  abstract start(
+    target: TargetAddress,
+    order: StartOrder,
+    signal?: AbortSignal,
+  ): Promise<StartOutcome>;
   abstract stop(target: TargetAddress, order: RunOrder): Promise<OrderOutcome>;
   /** Renews the leases on a target and reads its active and ended runs. */
   abstract renewLeases(
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -3,6 +3,7 @@
   computeRestartDelayMs,
   EndEffect,
   isFailure,
+  type Attempt,
   type Job,
   type TaskRun,
 } from '@currantgap/jobs';
@@ -13,7 +14,7 @@
 import type { JobLookup } from './job-lookup.ts';
 import { buildAttempt, type RunOrders } from './run-orders.ts';
 import type { ActiveRun, EndedRun, TargetReport } from './ports.ts';
-import type { Assignment, TargetRecord } from './target-record.ts';
+import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 import { UnlistedRuns } from './unlisted-runs.ts';
 
 /** Percent of full speed at which a filler runs by default. */
@@ -48,7 +49,7 @@
     const { clock, reconciliation } = this.#context;
     const { now } = clock;
     target.unansweredCalls = 0;
-    this.#checkIncarnation(target, report);
+    this.#checkIncarnation(target, report, sentAt);
     target.recordClock(report.clockMs, now);
     if (report.running.length > 0) target.recordActiveRuns(reconciliation.leaseMs, now);
     this.#recordReconciled(target, report);
@@ -99,12 +100,23 @@
   /** Records all runs of a target as lost: their leases have expired or its incarnation has ended. */
   recordAllLost(target: TargetRecord, reason: LossReason): void {
     const { crashes } = this.#context;
-    const lost = [...target.assignments];
+    const lost = [...target.assignments].filter(
+      ({ attempt }) => reason !== LossReason.LeasesExpired || this.#isLeaseOver(attempt),
+    );
     for (const assignment of lost) this.#unlisted.recordLost(target, assignment, reason);
     if (reason === LossReason.LeasesExpired) crashes.recordSilentLoss(target, lost);
     if (reason === LossReason.OtherIncarnation) crashes.recordCrash(target, lost);
   }
 
+  /**
+   * Whether a run on a target whose leases have expired is over as well. A start without an answer may
+   * have reached a later incarnation, on whose clock it expires much later.
+   */
+  #isLeaseOver({ hasBegun, arrivesBefore }: Attempt): boolean {
+    const { bounds, clock } = this.#context;
+    return hasBegun || clock.now > arrivesBefore + bounds.leaseMaximumMs / MINIMUM_CLOCK_RATE;
+  }
+
   /** Gives up the tasks that have crashed too many targets, and stores the crashes of all suspects. */
   applyCrashes(): void {
     for (const { suspects, culprits } of this.#context.crashes.takeVerdicts()) {
@@ -132,7 +144,7 @@
   }
 
   /** Resets the state that belongs to the previous incarnation if another one reports. */
-  #checkIncarnation(target: TargetRecord, report: TargetReport): void {
+  #checkIncarnation(target: TargetRecord, report: TargetReport, sentAt: number): void {
     const { logger } = this.#context;
     target.isIncarnationUncertain = false;
     if (report.bornAt === undefined || report.bornAt === target.bornAt) return;
@@ -142,10 +154,7 @@
         bornAt: report.bornAt,
         knownBornAt: target.bornAt,
       });
-      const lost = [...target.assignments].filter(
-        ({ attempt }) => attempt.bornAt !== report.bornAt,
-      );
-      this.#context.crashes.recordCrash(target, lost);
+      this.#endIncarnation(target, report, sentAt);
       target.appliedThrough = 0;
       target.acknowledgedThrough = 0;
       target.pace = FULL_PACE;
@@ -153,11 +162,41 @@
     target.bornAt = report.bornAt;
   }
 
+  /**
+   * Records the runs that began on the incarnation before the one that reports as lost with it. A start
+   * without an answer may still reach the new incarnation, which knows of no stop.
+   */
+  #endIncarnation(
+    target: TargetRecord,
+    { running, ended, ...report }: TargetReport,
+    sentAt: number,
+  ) {
+    const lost: Assignment[] = [];
+    for (const assignment of target.assignments) {
+      const { task, attempt } = assignment;
+      const isRun = (run: ActiveRun | EndedRun): boolean =>
+        run.task === task.name && run.run === attempt.run;
+      if (running.some(isRun) || ended.some(isRun)) continue;
+      attempt.stopAnsweredAt = undefined;
+      attempt.stopRetryAt = 0;
+      if (attempt.bornAt !== report.bornAt) lost.push(assignment);
+    }
+    this.#context.crashes.recordCrash(target, lost);
+    if (report.hasMoreEnds) return;
+    for (const assignment of lost) {
+      const { hasBegun, expectedInReportsAfter } = assignment.attempt;
+      if (hasBegun && sentAt > expectedInReportsAfter)
+        this.#unlisted.recordLost(target, assignment, LossReason.OtherIncarnation);
+    }
+  }
+
   #applyRunning(target: TargetRecord, running: ActiveRun): Assignment | undefined {
     const assignment = target.find(running.task, running.run) ?? this.#adopt(target, running);
     if (assignment === undefined) return undefined;
     const { attempt, task } = assignment;
     attempt.isListed = true;
+    attempt.hasBegun = true;
+    attempt.bornAt = target.bornAt ?? attempt.bornAt;
     attempt.isEndAwaited = false;
     task.step.job.hasStarted = true;
     attempt.percent = running.percent;
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -1,6 +1,8 @@
 import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
 import { ResponseTimes } from '@currantgap/scheduling';
 import type { OwnerContext } from './context.ts';
+import { MAXIMUM_CALL_AGE_MS } from './call-timing.ts';
+import type { OwnerMessage } from './messages.ts';
 import { OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 
@@ -26,6 +28,8 @@
   /** Starts without an answer, in the order in which they were sent, with their targets. */
   readonly unansweredStarts = new Map<Assignment, TargetRecord>();
   readonly #context: OwnerContext;
+  /** Give up the calls of the starts without an answer. */
+  readonly #withdrawals = new WeakMap<Attempt, AbortController>();
 
   constructor(context: OwnerContext) {
     this.#context = context;
@@ -39,6 +43,7 @@
     const deadline = target.grantLease(leaseMs, now);
     const attempt = buildAttempt(target, run, AttemptPhase.Starting, now);
     attempt.expiresAt = now + leaseMs / MINIMUM_CLOCK_RATE;
+    attempt.arrivesBefore = now + MAXIMUM_CALL_AGE_MS;
     const assignment = { task, attempt };
     fleet.assign(target, task, attempt);
     this.unansweredStarts.set(assignment, target);
@@ -53,7 +58,9 @@
       checkpoint: task.checkpoint,
       ticket,
     };
-    void targetPort.start(target.address, order).then((outcome) => {
+    const withdrawal = new AbortController();
+    this.#withdrawals.set(attempt, withdrawal);
+    void targetPort.start(target.address, order, withdrawal.signal).then((outcome) => {
       post({ kind: 'started', target, assignment, outcome });
     });
   }
@@ -78,12 +85,13 @@
   }
 
   /**
-   * Sends a stop for a run whose start was not answered, so that the target refuses the start if it
-   * arrives late. The attempt is not marked as stopping: a run that has begun counts as running
+   * Gives up the call of a start that was not answered, so that it reaches no later incarnation, and sends a
+   * stop, so that the target refuses the start if it arrives late. The attempt is not marked as stopping: a run that has begun counts as running
    * once the target reports it.
    */
   resolveUncertain(assignment: Assignment): void {
     const target = this.#context.fleet.find(assignment.attempt.targetId);
+    this.#withdrawals.get(assignment.attempt)?.abort();
     if (target !== undefined) this.#sendStop(target, assignment);
   }
 
@@ -102,10 +110,13 @@
     const { clock, logger } = this.#context;
     const { task, attempt } = assignment;
     const { now } = clock;
+    const isWithdrawn = this.#withdrawals.get(attempt)?.signal.aborted === true;
     this.unansweredStarts.delete(assignment);
+    this.#withdrawals.delete(attempt);
     if (outcome === StartOutcome.Accepted) this.startTimes.record(now - attempt.startedAt);
     if (target.find(task.name, attempt.run) === undefined) return;
     attempt.expectedInReportsAfter = now;
+    if (outcome !== StartOutcome.Unknown) attempt.arrivesBefore = now;
     const { job } = task.step;
     logger.writeInfo('start answered', {
       request: job.id,
@@ -120,10 +131,12 @@
         if (attempt.phase === AttemptPhase.Starting || isUnresolved(attempt)) {
           attempt.phase = AttemptPhase.Running;
         }
+        attempt.hasBegun = true;
         job.hasStarted = true;
         return;
+      case StartOutcome.Abandoned:
       case StartOutcome.Unknown:
-        target.unansweredCalls += 1;
+        if (!isWithdrawn) target.unansweredCalls += 1;
         if (attempt.phase === AttemptPhase.Starting) attempt.phase = AttemptPhase.Uncertain;
         return;
       case StartOutcome.Fenced:
@@ -151,14 +164,17 @@
   }
 
   /** Applies the outcome of a stop order. */
-  applyStopOutcome(target: TargetRecord, assignment: Assignment, outcome: OrderOutcome): void {
+  applyStopOutcome(message: Omit<OwnerMessage & { kind: 'stopped' }, 'kind'>): void {
     const { clock, depose } = this.#context;
+    const { target, assignment, outcome, knownBornAt } = message;
     const { attempt } = assignment;
     if (outcome === OrderOutcome.Fenced) {
       depose(`target ${target.id} has seen a higher token`);
       return;
     }
-    if (outcome === OrderOutcome.Accepted) attempt.stopAnsweredAt = clock.now;
+    // A stop that a former incarnation has accepted prevents nothing on the current one.
+    if (outcome === OrderOutcome.Accepted && knownBornAt === target.bornAt)
+      attempt.stopAnsweredAt = clock.now;
     if (outcome === OrderOutcome.OtherIncarnation) target.isIncarnationUncertain = true;
   }
 
@@ -168,8 +184,9 @@
     if (clock.now < attempt.stopRetryAt || attempt.stopAnsweredAt !== undefined) return;
     attempt.stopRetryAt = clock.now + STOP_RETRY_MS;
     const order = { task: task.name, run: attempt.run, token: term.token };
+    const knownBornAt = target.bornAt;
     void targetPort.stop(target.address, order).then((outcome) => {
-      post({ kind: 'stopped', target, assignment, outcome });
+      post({ kind: 'stopped', target, assignment, knownBornAt, outcome });
     });
   }
 }
@@ -184,10 +201,12 @@
   return {
     run,
     targetId: target.id,
-    bornAt: target.entry.bornAt,
+    bornAt: target.bornAt ?? target.entry.bornAt,
     phase,
     startedAt: now,
     expiresAt: now,
+    arrivesBefore: now,
+    hasBegun: phase === AttemptPhase.Running,
     percent: 0,
     readyNotBefore: 0,
     isListed: false,
--- a/packages/execution/src/target-roster.ts
+++ b/packages/execution/src/target-roster.ts
@@ -53,7 +53,8 @@
     }
     for (const target of fleet.targets) {
       if (values.has(target.id)) continue;
-      const hasEnded = target.leasesExpireAt <= now || fleet.isTerminated(target);
+      const isOver = target.leasesExpireAt <= now && target.assignmentCount === 0;
+      const hasEnded = isOver || fleet.isTerminated(target);
       if (!target.isRegistered && hasEnded) continue;
       values.set(target.id, encodeTarget(describeTarget(target)));
     }
--- a/packages/execution/src/unlisted-runs.ts
+++ b/packages/execution/src/unlisted-runs.ts
@@ -1,4 +1,4 @@
-import { AttemptPhase } from '@currantgap/jobs';
+import { AttemptPhase, type Attempt } from '@currantgap/jobs';
 import type { OwnerContext } from './context.ts';
 import type { RunOrders } from './run-orders.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
@@ -79,12 +79,19 @@
       this.recordLost(target, assignment, 'not listed');
       return;
     }
-    const isStartPrevented =
-      attempt.stopAnsweredAt !== undefined && sentAt > attempt.stopAnsweredAt;
-    if (isStartPrevented || sentAt > attempt.expiresAt) {
+    if (isStartPrevented(target, attempt, sentAt)) {
       this.recordLost(target, assignment, 'never began');
       return;
     }
     this.#orders.resolveUncertain(assignment);
   }
 }
+
+/** Whether a run that the report of `sentAt` does not list can begin neither on its target nor on a later incarnation. */
+function isStartPrevented(target: TargetRecord, attempt: Attempt, sentAt: number): boolean {
+  if (!attempt.hasBegun && sentAt < attempt.arrivesBefore) return false;
+  const { stopAnsweredAt, expiresAt } = attempt;
+  if (stopAnsweredAt !== undefined && sentAt > stopAnsweredAt) return true;
+  const isExpiryValid = target.bornAt === undefined || target.bornAt === attempt.bornAt;
+  return isExpiryValid && sentAt > expiresAt;
+}
--- a/packages/execution/test/cut-off-reports.test.ts
+++ b/packages/execution/test/cut-off-reports.test.ts
@@ -120,7 +120,13 @@
     const [attempt] = task.attempts;
     assert.equal(attempt?.phase, AttemptPhase.Uncertain);
     const { stopOutcome } = scenario.harness.targetPort;
-    scenario.orders.applyStopOutcome(target, { task, attempt }, stopOutcome);
+    assert.ok(attempt);
+    scenario.orders.applyStopOutcome({
+      target,
+      assignment: { task, attempt },
+      knownBornAt: target.bornAt,
+      outcome: stopOutcome,
+    });
     scenario.report(target, { hasMoreEnds: true });
     assert.ok(task.isActive);
   });
--- /dev/null
+++ b/packages/execution/test/later-incarnations.test.ts
@@ -0,0 +1,125 @@
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { AttemptPhase } from '@currantgap/jobs';
+import { EndKind } from '@currantgap/model';
+import { MAXIMUM_CALL_AGE_MS } from '../src/call-timing.ts';
+import { JobLookup } from '../src/job-lookup.ts';
+import { OrderOutcome, StartOutcome, type TargetReport } from '../src/ports.ts';
+import { LossReason, ReportProcessor } from '../src/report-processor.ts';
+import { RunOrders } from '../src/run-orders.ts';
+import { createEnded, createReport, createRunning, TermHarness } from './term-harness.ts';
+
+/** Longest lease of the harness on this node's clock, in milliseconds. */
+const MAXIMUM_LEASE_MS = 10_000 / 0.98;
+
+/** One task whose start was sent to a target, and the reports of the target's incarnations. */
+class Scenario {
+  readonly harness = new TermHarness();
+  readonly orders = new RunOrders(this.harness.context);
+  readonly processor = new ReportProcessor(
+    this.harness.context,
+    this.orders,
+    new JobLookup(this.harness.context, this.harness.store),
+  );
+  readonly target = this.harness.addTarget('t1');
+  readonly task;
+  readonly attempt;
+
+  constructor(outcome: StartOutcome) {
+    this.report();
+    const job = this.harness.addJob('00000000000000a1', [{}]);
+    const task = job.openOccurrence(0).steps[0]?.tasks[0];
+    assert.ok(task);
+    this.orders.start(task, this.target, 10_001);
+    const [attempt] = task.attempts;
+    assert.ok(attempt);
+    this.task = task;
+    this.attempt = attempt;
+    this.orders.applyStartOutcome(this.target, { task, attempt }, outcome);
+    this.harness.advance(10);
+  }
+
+  /** Applies a report that was requested just now, and lets 10 ms pass. */
+  report(changes: Partial<TargetReport> = {}): void {
+    this.processor.apply(this.target, createReport(changes), this.harness.now);
+    this.harness.advance(10);
+  }
+
+  /** Applies the answer to a stop that was sent when an incarnation was known. */
+  answerStop(knownBornAt: number): void {
+    const { target, task, attempt } = this;
+    const assignment = { task, attempt };
+    const outcome = OrderOutcome.Accepted;
+    this.orders.applyStopOutcome({ target, assignment, knownBornAt, outcome });
+    this.harness.advance(10);
+  }
+}
+
+// Case 6 of the second review, TWICE: a start that a process sent late ran on the next incarnation, after
+// the task had been started elsewhere because the former incarnation had answered a stop.
+describe('a start whose forwarder is lost', () => {
+  it('starts nowhere else as long as its call may reach a later incarnation', () => {
+    const scenario = new Scenario(StartOutcome.Unknown);
+    scenario.report();
+    scenario.answerStop(1);
+    scenario.report();
+    assert.ok(scenario.task.isActive, 'the call may still be under way');
+    scenario.harness.advance(MAXIMUM_CALL_AGE_MS);
+    scenario.report();
+    assert.equal(scenario.task.isActive, false);
+  });
+
+  it('is stopped again on the next incarnation, which knows of no stop', () => {
+    const scenario = new Scenario(StartOutcome.Abandoned);
+    scenario.report();
+    scenario.answerStop(1);
+    scenario.report({ bornAt: 2, clockMs: 5 });
+    assert.ok(scenario.task.isActive);
+    assert.equal(scenario.harness.targetPort.stops.length, 2);
+    scenario.answerStop(2);
+    scenario.report({ bornAt: 2, clockMs: 25 });
+    assert.equal(scenario.task.isActive, false);
+  });
+
+  it('is not prevented by the late answer of a former incarnation to a stop', () => {
+    const scenario = new Scenario(StartOutcome.Abandoned);
+    scenario.report();
+    scenario.report({ bornAt: 2, clockMs: 5 });
+    scenario.answerStop(1);
+    scenario.report({ bornAt: 2, clockMs: 25 });
+    assert.ok(scenario.task.isActive);
+  });
+
+  it('does not expire on the clock of a later incarnation', () => {
+    const scenario = new Scenario(StartOutcome.Abandoned);
+    scenario.harness.advance(scenario.attempt.expiresAt - scenario.harness.now);
+    scenario.report({ bornAt: 2, clockMs: 5 });
+    assert.ok(scenario.task.isActive);
+  });
+
+  it('goes on if the next incarnation lists it, and is no victim of a crash', () => {
+    const scenario = new Scenario(StartOutcome.Abandoned);
+    const running = [createRunning(scenario.task.name, 10_001)];
+    scenario.report({ bornAt: 2, clockMs: 5, running });
+    assert.equal(scenario.attempt.phase, AttemptPhase.Running);
+    assert.equal(scenario.task.isSuspect, false);
+  });
+
+  it('counts if the next incarnation has ended it', () => {
+    const scenario = new Scenario(StartOutcome.Abandoned);
+    const ended = [createEnded(1, scenario.task.name, 10_001, EndKind.Done)];
+    scenario.report({ bornAt: 2, clockMs: 5, ended });
+    assert.ok(scenario.task.isDone);
+  });
+
+  it('may run on a later incarnation until the longest lease is over, unless its target reports', () => {
+    const scenario = new Scenario(StartOutcome.Unknown);
+    const { harness, processor, target, task, attempt } = scenario;
+    harness.advance(target.leasesExpireAt + 1 - harness.now);
+    processor.recordAllLost(target, LossReason.LeasesExpired);
+    assert.ok(task.isActive);
+    harness.advance(attempt.arrivesBefore + MAXIMUM_LEASE_MS + 1 - harness.now);
+    processor.recordAllLost(target, LossReason.LeasesExpired);
+    assert.equal(task.isActive, false);
+  });
+});
--- a/packages/execution/test/report-processor.test.ts
+++ b/packages/execution/test/report-processor.test.ts
@@ -132,13 +132,18 @@
     it('keeps the task from starting elsewhere until a stop is answered and a later report does not list the run', () => {
       const parts = createParts();
       const { harness, orders, reportProcessor, target } = parts;
-      const { task, attempt } = start(parts, StartOutcome.Unknown);
+      const { task, attempt } = start(parts, StartOutcome.Abandoned);
       harness.advance(10);
       reportProcessor.apply(target, createReport(), harness.now);
       assert.equal(harness.targetPort.stops.length, 1);
       assert.ok(task.isActive);
       harness.advance(10);
-      orders.applyStopOutcome(target, { task, attempt }, harness.targetPort.stopOutcome);
+      orders.applyStopOutcome({
+        target,
+        assignment: { task, attempt },
+        knownBornAt: target.bornAt,
+        outcome: harness.targetPort.stopOutcome,
+      });
       reportProcessor.apply(target, createReport(), harness.now - 5);
       assert.ok(task.isActive, 'the report was requested before the stop was answered');
       harness.advance(10);
--- a/packages/execution/test/start-watch.test.ts
+++ b/packages/execution/test/start-watch.test.ts
@@ -17,11 +17,19 @@
 const LIMIT_MS = 100;
 const READ_MARGIN_MS = 20;
 
-/** Answers no start: targets may carry them out late. */
+/** Answers no start: targets may carry them out late. A start is given up when the owner withdraws it. */
 class SilentTargetPort extends FakeTargetPort {
-  override async start(target: TargetAddress, order: StartOrder): Promise<StartOutcome> {
-    await super.start(target, order);
-    return new Promise(() => undefined);
+  override async start(
+    target: TargetAddress,
+    order: StartOrder,
+    signal?: AbortSignal,
+  ): Promise<StartOutcome> {
+    void super.start(target, order);
+    return new Promise((resolve) => {
+      signal?.addEventListener('abort', () => {
+        resolve(StartOutcome.Abandoned);
+      });
+    });
   }
 }
 
@@ -66,8 +74,13 @@
     assert.equal(task.isActive, true);
     await flushPromises();
     const stopped = harness.messages.find((message) => message.kind === 'stopped');
-    assert.ok(stopped);
-    orders.applyStopOutcome(stopped.target, stopped.assignment, stopped.outcome);
+    const started = harness.messages.find((message) => message.kind === 'started');
+    assert.ok(stopped && started);
+    orders.applyStopOutcome(stopped);
+    harness.advance(10);
+    processor.apply(target, createReport(), harness.now);
+    assert.equal(task.isActive, true, 'the call has not been given up yet');
+    orders.applyStartOutcome(target, started.assignment, started.outcome);
     harness.advance(10);
     processor.apply(target, createReport(), harness.now);
     assert.equal(task.isWaiting(harness.now), true);
--- a/packages/forwarding/src/forwarder-connection.ts
+++ b/packages/forwarding/src/forwarder-connection.ts
@@ -1,15 +1,23 @@
-import type {
-  LeaseRenewalOrder,
-  PaceOrder,
-  RunOrder,
-  StartOrder,
-  TargetAddress,
+import {
+  CALL_VALIDITY_MS,
+  type LeaseRenewalOrder,
+  type PaceOrder,
+  type RunOrder,
+  type StartOrder,
+  type TargetAddress,
 } from '@currantgap/execution';
+import { RemoteClock } from '@currantgap/tasks';
 import type { Duplex } from 'node:stream';
 import { HEARTBEAT_MS } from './forwarder.ts';
 import type { ForwarderInfo } from './handshake.ts';
 import { LineChannel } from './line-channel.ts';
-import { CallKind, decodeResult, type WireResult } from './messages.ts';
+import {
+  CallKind,
+  decodeHeartbeat,
+  decodeResult,
+  encodeWithdrawal,
+  type WireResult,
+} from './messages.ts';
 import { getJobId, SpecCache } from './spec-cache.ts';
 
 /** Milliseconds without a line after which a forwarder counts as failed: a few heartbeats. */
@@ -38,15 +46,20 @@
   readonly info: ForwarderInfo;
   readonly #channel: LineChannel;
   readonly #specs = new SpecCache();
+  /** The forwarder's boot clock. */
+  readonly #clock = new RemoteClock();
   readonly #pending = new Map<number, PendingCall>();
   #lastCall = 0;
 
   constructor({ info, socket, head, onClosed }: ForwarderConnectionOptions) {
     this.info = info;
+    this.#clock.record(info.clockMs, performance.now());
     this.#channel = new LineChannel({
       socket,
       head,
       onValue: (value) => {
+        const clockMs = decodeHeartbeat(value);
+        if (clockMs !== undefined) this.#clock.record(clockMs, performance.now());
         this.#applyResult(value);
       },
       onClosed: (reason) => {
@@ -66,22 +79,40 @@
     return !this.#channel.isClosed && !this.#channel.isCongested;
   }
 
-  /** Starts a run; undefined if the outcome is not known. */
-  async start(target: TargetAddress, order: StartOrder): Promise<WireResult | undefined> {
+  /** Starts a run; undefined if the outcome is not known. `signal` gives the call up. */
+  async start(
+    target: TargetAddress,
+    order: StartOrder,
+    signal?: AbortSignal,
+  ): Promise<WireResult | undefined> {
     const { spec, ...rest } = order;
     const jobId = getJobId(order.task);
     const isSpecKnown = this.#specs.has(jobId);
     if (!isSpecKnown) this.#specs.add(jobId, spec);
     const deadline = Math.round(order.deadline);
-    const sent = isSpecKnown ? { ...rest, deadline } : { ...rest, deadline, spec };
-    return this.#send(target, CallKind.Start, sent);
+    const sent = { ...rest, deadline, sendBefore: this.#computeSendBefore() };
+    const result = this.#send(target, CallKind.Start, isSpecKnown ? sent : { ...sent, spec });
+    const call = this.#lastCall;
+    signal?.addEventListener('abort', () => {
+      if (this.#pending.has(call)) this.#channel.send(encodeWithdrawal(call));
+    });
+    return result;
+  }
+
+  /** Renews the leases on a target; undefined if there was no result. */
+  async renewLeases(
+    target: TargetAddress,
+    order: LeaseRenewalOrder,
+  ): Promise<WireResult | undefined> {
+    const sent = { ...order, sendBefore: this.#computeSendBefore() };
+    return this.#send(target, CallKind.Renew, sent);
   }
 
-  /** Makes any other call; undefined if there was no result. */
+  /** Makes a call that means the same at any time; undefined if there was no result. */
   async sendOrder(
     target: TargetAddress,
-    kind: CallKind.Stop | CallKind.Pace | CallKind.Renew,
-    order: RunOrder | PaceOrder | LeaseRenewalOrder,
+    kind: CallKind.Stop | CallKind.Pace,
+    order: RunOrder | PaceOrder,
   ): Promise<WireResult | undefined> {
     return this.#send(target, kind, order);
   }
@@ -113,6 +144,11 @@
     this.#channel.close(reason);
   }
 
+  /** Computes until when the forwarder may send a call to its target, on its own clock. */
+  #computeSendBefore(): number {
+    return this.#clock.computeRemoteTime(performance.now()) + CALL_VALIDITY_MS;
+  }
+
   async #send(
     target: TargetAddress,
     kind: CallKind,
--- a/packages/forwarding/src/forwarder-pool.ts
+++ b/packages/forwarding/src/forwarder-pool.ts
@@ -1,16 +1,19 @@
 import type { AdmissionEvidence } from '@currantgap/admission';
 import type { LeaseRenewalFault } from '@currantgap/execution';
 import {
+  CALL_VALIDITY_MS,
   OrderOutcome,
   StartOutcome,
   TargetPort,
   type LeaseRenewalOrder,
   type PaceOrder,
+  type PerishableOrder,
   type RunOrder,
   type StartOrder,
   type TargetAddress,
   type TargetReport,
 } from '@currantgap/execution';
+import type { BootClock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import type { Result } from 'neverthrow';
 import type { Duplex } from 'node:stream';
@@ -40,6 +43,8 @@
   readonly epoch: number;
   /** Makes the calls of targets that no forwarder is available for. */
   readonly local: TargetPort;
+  /** Clock by which calls expire; `local` goes by the same. */
+  readonly clock: BootClock;
   /** Data centre of this node. */
   readonly dataCentre: string;
   readonly logger: Logger;
@@ -121,10 +126,15 @@
     }
   }
 
-  async start(target: TargetAddress, order: StartOrder): Promise<StartOutcome> {
+  async start(
+    target: TargetAddress,
+    order: StartOrder,
+    signal?: AbortSignal,
+  ): Promise<StartOutcome> {
     const connection = this.#find(target);
-    if (connection === undefined) return this.#options.local.start(target, order);
-    const result = await connection.start(target, order);
+    if (connection === undefined)
+      return this.#options.local.start(target, this.#addSendLimit(order), signal);
+    const result = await connection.start(target, order, signal);
     return result === undefined ? StartOutcome.Unknown : decodeStartOutcome(result);
   }
 
@@ -144,16 +154,36 @@
     target: TargetAddress,
     order: LeaseRenewalOrder,
   ): Promise<Result<TargetReport, LeaseRenewalFault>> {
-    const result = await this.#sendRepeatably(target, CallKind.Renew, order);
-    if (result === LOCAL) return this.#options.local.renewLeases(target, order);
-    return decodeRenewal(result ?? { call: 0 });
+    const startedAt = this.#options.clock.now;
+    const connection = this.#find(target);
+    if (connection === undefined) return this.#renewLocally(target, order);
+    const result = await connection.renewLeases(target, order);
+    if (result !== undefined || !connection.isClosed) return decodeRenewal(result ?? { call: 0 });
+    // The forwarder is lost: another one asks, but after so long for a report alone.
+    const isValid = this.#options.clock.now - startedAt < CALL_VALIDITY_MS;
+    const repeated = isValid ? order : { ...order, acknowledgedThrough: 0, deadline: undefined };
+    const other = this.#find(target);
+    if (other === undefined) return this.#renewLocally(target, repeated);
+    return decodeRenewal((await other.renewLeases(target, repeated)) ?? { call: 0 });
+  }
+
+  async #renewLocally(
+    target: TargetAddress,
+    order: LeaseRenewalOrder,
+  ): Promise<Result<TargetReport, LeaseRenewalFault>> {
+    return this.#options.local.renewLeases(target, this.#addSendLimit(order));
+  }
+
+  /** Adds until when this node may send the order of a call that it makes itself. */
+  #addSendLimit<T extends PerishableOrder>(order: T): T {
+    return { ...order, sendBefore: this.#options.clock.now + CALL_VALIDITY_MS };
   }
 
   /** Makes a call that may safely be made twice: if its forwarder is lost, another one makes it. */
   async #sendRepeatably(
     target: TargetAddress,
-    kind: CallKind.Stop | CallKind.Pace | CallKind.Renew,
-    order: RunOrder | PaceOrder | LeaseRenewalOrder,
+    kind: CallKind.Stop | CallKind.Pace,
+    order: RunOrder | PaceOrder,
   ): Promise<WireResult | typeof LOCAL | undefined> {
     const connection = this.#find(target);
     if (connection === undefined) return LOCAL;
--- a/packages/forwarding/src/forwarder.ts
+++ b/packages/forwarding/src/forwarder.ts
@@ -1,6 +1,7 @@
 import type { AdmissionEvidence } from '@currantgap/admission';
 import type { TargetPort } from '@currantgap/execution';
 import { describeError } from '@currantgap/model';
+import type { BootClock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import { request } from 'node:http';
 import type { Duplex } from 'node:stream';
@@ -10,6 +11,8 @@
   CallKind,
   decodeAnnouncement,
   decodeCall,
+  decodeWithdrawal,
+  encodeHeartbeat,
   encodeRenewal,
   isRelease,
   type ForwardedCall,
@@ -40,7 +43,9 @@
   readonly targetPort: TargetPort;
   readonly logger: Logger;
   /** Describes this node. */
-  readonly info: Omit<ForwarderInfo, 'epoch'>;
+  readonly info: Omit<ForwarderInfo, 'epoch' | 'clockMs'>;
+  /** Clock by which the calls expire; the port that makes them goes by the same. */
+  readonly clock: BootClock;
   /** The owner; undefined if none is known or if this node is the owner. */
   readonly findOwner: () => OwnerEndpoint | undefined;
   /** Receives the owner's evidence about contention. */
@@ -59,6 +64,8 @@
   #channel: LineChannel | undefined;
   #owner: OwnerEndpoint | undefined;
   #specs = new SpecCache();
+  /** Give up the starts in flight, by the ids of their calls. */
+  #withdrawals = new Map<number, AbortController>();
   #isConnecting = false;
   #connectNotBefore = 0;
   #timer: NodeJS.Timeout | undefined;
@@ -92,14 +99,14 @@
     if (channel !== undefined) {
       if (owner?.epoch !== this.#owner?.epoch) channel.close('another node owns the fleet');
       else if (now - channel.receivedAt > OWNER_SILENCE_MS) channel.close('the owner is silent');
-      else if (now - channel.sentAt > HEARTBEAT_MS) channel.send({});
+      else if (now - channel.sentAt > HEARTBEAT_MS) this.#sendHeartbeat(channel);
     }
     if (this.#channel !== undefined || owner === undefined || this.#isConnecting) return;
     if (now >= this.#connectNotBefore) this.#connect(owner);
   }
 
   #connect(owner: OwnerEndpoint): void {
-    const { logger, info } = this.#options;
+    const { clock, logger, info } = this.#options;
     this.#isConnecting = true;
     this.#connectNotBefore = performance.now() + RETRY_DELAY_MS * (0.5 + Math.random() / 2);
     const separator = owner.address.lastIndexOf(':');
@@ -107,7 +114,7 @@
       host: owner.address.slice(0, separator),
       port: Number(owner.address.slice(separator + 1)),
       path: '/forwarders',
-      headers: encodeHandshake({ ...info, epoch: owner.epoch }),
+      headers: encodeHandshake({ ...info, epoch: owner.epoch, clockMs: clock.now }),
     });
     const timer = setTimeout(() => {
       outgoing.destroy(new Error(`no answer within ${CONNECT_TIMEOUT_MS} ms`));
@@ -136,12 +143,14 @@
     const { logger, onOwnerLeaving } = this.#options;
     this.#owner = owner;
     this.#specs = new SpecCache();
+    this.#withdrawals = new Map();
     const channel = new LineChannel({
       socket,
       head,
       onValue: (value) => {
         this.#applyAnnouncement(value, owner);
         if (isRelease(value)) onOwnerLeaving();
+        this.#withdrawals.get(decodeWithdrawal(value) ?? 0)?.abort();
         const call = decodeCall(value);
         if (call !== undefined) this.#handleCall(call, channel);
       },
@@ -152,10 +161,14 @@
       },
     });
     this.#channel = channel;
-    channel.send({});
+    this.#sendHeartbeat(channel);
     logger.writeInfo('forwarding begun', { epoch: owner.epoch, owner: owner.address });
   }
 
+  #sendHeartbeat(channel: LineChannel): void {
+    channel.send(encodeHeartbeat(this.#options.clock.now));
+  }
+
   /** Passes evidence on. Malformed evidence is skipped, because calls still depend on the channel. */
   #applyAnnouncement(value: unknown, owner: OwnerEndpoint): void {
     const evidence = decodeAnnouncement(value);
@@ -174,7 +187,7 @@
     };
     switch (forwarded.kind) {
       case CallKind.Start:
-        void targetPort.start(target, this.#buildStartOrder(forwarded.order)).then(answer);
+        this.#start(forwarded, answer);
         return;
       case CallKind.Stop:
         void targetPort.stop(target, forwarded.order).then(answer);
@@ -189,6 +202,20 @@
     }
   }
 
+  #start(
+    { call, target, order }: ForwardedCall & { kind: CallKind.Start },
+    answer: (outcome: string) => void,
+  ): void {
+    const withdrawals = this.#withdrawals;
+    const withdrawal = new AbortController();
+    withdrawals.set(call, withdrawal);
+    const start = this.#buildStartOrder(order);
+    void this.#options.targetPort.start(target, start, withdrawal.signal).then((outcome) => {
+      withdrawals.delete(call);
+      answer(outcome);
+    });
+  }
+
   /** Adds the specification that an earlier call of the job brought. Throws if there was none. */
   #buildStartOrder(order: (ForwardedCall & { kind: CallKind.Start })['order']) {
     const jobId = getJobId(order.task);
--- a/packages/forwarding/src/handshake.ts
+++ b/packages/forwarding/src/handshake.ts
@@ -4,7 +4,7 @@
 import type { Logger } from '@currantgap/telemetry';
 
 /** Value of the `upgrade` header; both ends must speak the same version. */
-const FORWARDING_PROTOCOL = 'currantgap-forwarding-2';
+const FORWARDING_PROTOCOL = 'currantgap-forwarding-3';
 
 /** What a forwarder tells about its node. */
 export interface ForwarderInfo {
@@ -14,6 +14,8 @@
   readonly linkMbps: number;
   /** Epoch of the owner that the forwarder wants to serve. */
   readonly epoch: number;
+  /** The forwarder's boot clock when it sent the request, in milliseconds. */
+  readonly clockMs: number;
 }
 
 const NODE_HEADER = 'currantgap-node';
@@ -21,6 +23,7 @@
 const CORES_HEADER = 'currantgap-cores';
 const LINK_HEADER = 'currantgap-link-mbps';
 const EPOCH_HEADER = 'currantgap-epoch';
+const CLOCK_HEADER = 'currantgap-clock-ms';
 
 /** Encodes the headers of the request with which a forwarder connects to the owner. */
 export function encodeHandshake(info: ForwarderInfo): Record<string, string> {
@@ -32,6 +35,7 @@
     [CORES_HEADER]: String(info.cores),
     [LINK_HEADER]: String(info.linkMbps),
     [EPOCH_HEADER]: String(info.epoch),
+    [CLOCK_HEADER]: String(info.clockMs),
   };
 }
 
@@ -43,9 +47,11 @@
   const cores = Number(headers[CORES_HEADER]);
   const linkMbps = Number(headers[LINK_HEADER]);
   const epoch = Number(headers[EPOCH_HEADER]);
+  const clockMs = Number(headers[CLOCK_HEADER]);
   if (typeof node !== 'string' || typeof dataCentre !== 'string') return undefined;
   if (!(cores > 0) || !(linkMbps > 0) || !Number.isInteger(epoch)) return undefined;
-  return { node, dataCentre, cores, linkMbps, epoch };
+  if (headers[CLOCK_HEADER] === undefined || !Number.isFinite(clockMs)) return undefined;
+  return { node, dataCentre, cores, linkMbps, epoch, clockMs };
 }
 
 /** Accepts the connections of forwarders. */
--- a/packages/forwarding/src/messages.ts
+++ b/packages/forwarding/src/messages.ts
@@ -89,6 +89,28 @@
   return call as ForwardedCall;
 }
 
+/** Encodes that the owner gives up a call. */
+export function encodeWithdrawal(call: number): object {
+  return { withdrawn: call };
+}
+
+/** Decodes the id of a call that the owner gives up; undefined if the value names none. */
+export function decodeWithdrawal(value: unknown): number | undefined {
+  const call = (value as { withdrawn?: unknown } | null)?.withdrawn;
+  return typeof call === 'number' ? call : undefined;
+}
+
+/** Encodes a forwarder's heartbeat: a reading of its boot clock in milliseconds. */
+export function encodeHeartbeat(clockMs: number): object {
+  return { clockMs };
+}
+
+/** Decodes the clock reading of a forwarder's heartbeat; undefined if the value is none. */
+export function decodeHeartbeat(value: unknown): number | undefined {
+  const clockMs = (value as { clockMs?: unknown } | null)?.clockMs;
+  return typeof clockMs === 'number' ? clockMs : undefined;
+}
+
 /** Encodes an announcement of evidence; it is no call, so that earlier versions ignore it. */
 export function encodeAnnouncement(evidence: AdmissionEvidence): object {
   return { admission: encodeEvidence(evidence) };
--- a/packages/forwarding/test/choice.test.ts
+++ b/packages/forwarding/test/choice.test.ts
@@ -5,7 +5,7 @@
 import { createTarget } from './harness.ts';
 
 function createInfo(node: string, changes: Partial<ForwarderInfo> = {}): ForwarderInfo {
-  return { node, dataCentre: 'riga-a', cores: 1, linkMbps: 100, epoch: 1, ...changes };
+  return { node, dataCentre: 'riga-a', cores: 1, linkMbps: 100, epoch: 1, clockMs: 0, ...changes };
 }
 
 function createForwarders(...infos: ForwarderInfo[]): { info: ForwarderInfo }[] {
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -2,8 +2,15 @@
 import { once } from 'node:events';
 import { request } from 'node:http';
 import { describe, it } from 'node:test';
-import { LeaseRenewalFault, OrderOutcome, StartOutcome } from '@currantgap/execution';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  CALL_VALIDITY_MS,
+  LeaseRenewalFault,
+  OrderOutcome,
+  StartOutcome,
+} from '@currantgap/execution';
 import { waitUntil } from '@currantgap/standins';
+import { BootClock } from '@currantgap/tasks';
 import { encodeHandshake } from '../src/handshake.ts';
 import {
   createStart,
@@ -15,6 +22,22 @@
   type RecordingPort,
 } from './harness.ts';
 
+/** Milliseconds for which a forwarder stands still: longer than calls are valid. */
+const STANDSTILL_MS = 1_700;
+
+/** A clock that a test advances, as if the process had stood still. */
+class AdjustableClock extends BootClock {
+  #advancedMs = 0;
+
+  override get now(): number {
+    return super.now + this.#advancedMs;
+  }
+
+  advance(ms: number): void {
+    this.#advancedMs += ms;
+  }
+}
+
 async function useHarness(run: (harness: ForwardingHarness) => Promise<void>): Promise<void> {
   const harness = new ForwardingHarness();
   await harness.open();
@@ -131,6 +154,51 @@
     });
   });
 
+  // Case 6 of the second review, TWICE: a forwarder that stood still made the calls that it had received before.
+  it('limits each call by the clock of its forwarder, which may stand still before it reads the call', async () => {
+    await useHarness(async (harness) => {
+      const clock = new AdjustableClock();
+      const port = harness.addForwarder('n1', 'riga-a', EPOCH, clock);
+      await waitForForwarding(harness, [port]);
+      const before = clock.now;
+      const outcome = harness.pool.start(createTarget('t1'), createStart('job.0.0.0'));
+      clock.advance(STANDSTILL_MS);
+      await outcome;
+      const limit = port.sendLimits.at(-1);
+      assert.ok(limit !== undefined);
+      assert.ok(limit > before && limit <= before + STANDSTILL_MS, `${limit} after ${before}`);
+      assert.ok(limit < clock.now);
+    });
+  });
+
+  it('sends nothing that belongs to one incarnation again after the time of the call', async () => {
+    await useHarness(async (harness) => {
+      const port = harness.addForwarder('n1');
+      await waitForForwarding(harness, [port]);
+      port.isSilent = true;
+      const renewal = harness.pool.renewLeases(createTarget('t1'), RENEWAL);
+      await sleep(CALL_VALIDITY_MS);
+      harness.stopForwarder('n1');
+      assert.ok((await renewal).isOk());
+      const { deadline, acknowledgedThrough } = harness.local.renewals.at(-1) ?? RENEWAL;
+      assert.deepEqual([deadline, acknowledgedThrough], [undefined, 0]);
+    });
+  });
+
+  it('gives a start up when the owner withdraws it', async () => {
+    await useHarness(async (harness) => {
+      const port = harness.addForwarder('n1');
+      await waitForForwarding(harness, [port]);
+      port.isSilent = true;
+      const withdrawal = new AbortController();
+      const order = createStart('job.0.0.0');
+      const outcome = harness.pool.start(createTarget('t1'), order, withdrawal.signal);
+      await waitUntil(() => port.starts.length === 1);
+      withdrawal.abort();
+      assert.equal(await outcome, StartOutcome.Abandoned);
+    });
+  });
+
   it('gives up a forwarder that neither closes its connection nor sends anything', async () => {
     await useHarness(async (harness) => {
       const separator = harness.address.lastIndexOf(':');
@@ -143,6 +211,7 @@
           cores: 1,
           linkMbps: 100,
           epoch: EPOCH,
+          clockMs: performance.now(),
         }),
       });
       outgoing.end();
@@ -173,6 +242,7 @@
           cores: 1,
           linkMbps: 100,
           epoch: EPOCH,
+          clockMs: performance.now(),
         });
         const outgoing = request({
           host: harness.address.slice(0, separator),
--- a/packages/forwarding/test/harness.ts
+++ b/packages/forwarding/test/harness.ts
@@ -11,7 +11,7 @@
   type TargetReport,
 } from '@currantgap/execution';
 import { EndKind } from '@currantgap/model';
-import { listenOn } from '@currantgap/tasks';
+import { BootClock, listenOn } from '@currantgap/tasks';
 import { Logger, setLogSink } from '@currantgap/telemetry';
 import { err, ok, type Result } from 'neverthrow';
 import { createServer, type Server } from 'node:http';
@@ -49,12 +49,24 @@
   readonly starts: (StartOrder & { target: string })[] = [];
   readonly stops: (RunOrder & { target: string })[] = [];
   readonly renewals: (LeaseRenewalOrder & { target: string })[] = [];
+  /** Times after which the starts and renewals must not be sent, in the order of the calls. */
+  readonly sendLimits: (number | undefined)[] = [];
   isSilent = false;
   renewalFault: LeaseRenewalFault | undefined;
 
-  async start(target: TargetAddress, order: StartOrder): Promise<StartOutcome> {
+  async start(
+    target: TargetAddress,
+    { sendBefore, ...order }: StartOrder,
+    signal?: AbortSignal,
+  ): Promise<StartOutcome> {
+    this.sendLimits.push(sendBefore);
     this.starts.push({ ...order, target: target.id });
-    return this.#answer(StartOutcome.Accepted);
+    const withdrawn = new Promise<StartOutcome>((resolve) => {
+      signal?.addEventListener('abort', () => {
+        resolve(StartOutcome.Abandoned);
+      });
+    });
+    return Promise.race([this.#answer(StartOutcome.Accepted), withdrawn]);
   }
 
   async stop(target: TargetAddress, order: RunOrder): Promise<OrderOutcome> {
@@ -64,8 +76,9 @@
 
   async renewLeases(
     target: TargetAddress,
-    order: LeaseRenewalOrder,
+    { sendBefore, ...order }: LeaseRenewalOrder,
   ): Promise<Result<TargetReport, LeaseRenewalFault>> {
+    this.sendLimits.push(sendBefore);
     this.renewals.push({ ...order, target: target.id });
     const fault = this.renewalFault;
     return this.#answer(fault === undefined ? ok(REPORT) : err(fault));
@@ -83,9 +96,11 @@
 /** An owner's pool behind a peer listener, and forwarders that connect to it. */
 export class ForwardingHarness {
   readonly local = new RecordingPort();
+  readonly clock = new BootClock();
   readonly pool = new ForwarderPool({
     epoch: EPOCH,
     local: this.local,
+    clock: this.clock,
     dataCentre: 'riga-a',
     logger: new Logger(),
   });
@@ -110,11 +125,17 @@
   }
 
   /** Starts a forwarder; it connects within its check interval. */
-  addForwarder(node: string, dataCentre = 'riga-a', epoch = EPOCH): RecordingPort {
+  addForwarder(
+    node: string,
+    dataCentre = 'riga-a',
+    epoch = EPOCH,
+    clock = this.clock,
+  ): RecordingPort {
     const port = new RecordingPort();
     this.ports.set(node, port);
     const forwarder = new Forwarder({
       targetPort: port,
+      clock,
       logger: new Logger(),
       info: { node, dataCentre, cores: 1, linkMbps: 100 },
       findOwner: () => ({ address: this.#address, epoch }),
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -16,16 +16,23 @@
 export interface Attempt {
   readonly run: number;
   readonly targetId: string;
-  /** Unix milliseconds at which the target's process started; identifies its incarnation. */
-  readonly bornAt: number;
+  /**
+   * Start of the target's incarnation by whose clock the start expires, or that has listed the run; Unix
+   * milliseconds.
+   */
+  bornAt: number;
   phase: AttemptPhase;
   /** Time at which the start was sent, or at which a run of an earlier term was adopted. */
   readonly startedAt: number;
   /**
-   * Time after which the target can no longer begin the run. If a report requested later does
-   * not list the run, it never began.
+   * Time after which the incarnation that the start was meant for can no longer begin the run. If a
+   * report requested later does not list the run, it never began there.
    */
   expiresAt: number;
+  /** Time from which the start can reach no incarnation of the target any more. */
+  arrivesBefore: number;
+  /** Whether a target has accepted the start, or listed the run. */
+  hasBegun: boolean;
   /** Progress in percent; 100 for a persistent task that is in service. */
   percent: number;
   /**
@@ -48,7 +55,7 @@
   expectedInReportsAfter: number;
   /** Time before which an unanswered stop is not sent again. */
   stopRetryAt: number;
-  /** Time at which the target accepted a stop: the run can no longer begin after it. */
+  /** Time at which the current incarnation accepted a stop: the run can no longer begin on it. */
   stopAnsweredAt: number | undefined;
 }
 
--- a/packages/node/src/node.ts
+++ b/packages/node/src/node.ts
@@ -25,7 +25,7 @@
   type NodeSettings,
 } from '@currantgap/platform-adapter';
 import { PageSizer } from '@currantgap/store';
-import { SystemClock } from '@currantgap/tasks';
+import { BootClock, SystemClock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import { randomBytes } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -73,7 +73,9 @@
   readonly #logger: Logger;
   readonly #metrics = new NodeMetrics();
   readonly #httpClient = new HttpClient(STORE_CONNECTIONS);
-  readonly #targetHttpClient = new HttpClient(TARGET_CONNECTIONS);
+  /** Clock by which calls to targets expire. */
+  readonly #bootClock = new BootClock();
+  readonly #targetHttpClient = new HttpClient(TARGET_CONNECTIONS, this.#bootClock);
   /** Connections of their own, so that lease renewals wait for no other call. */
   readonly #leaseHttpClient = new HttpClient(LEASE_CONNECTIONS);
   readonly #store: HttpStore;
@@ -196,6 +198,7 @@
     const pool = new ForwarderPool({
       epoch: term.epoch,
       local: new HttpTargets(this.#targetHttpClient),
+      clock: this.#bootClock,
       dataCentre,
       logger: this.#logger,
     });
@@ -296,6 +299,7 @@
   #createForwarder({ node, dataCentre, cores, linkMbps }: NodeSettings): Forwarder {
     return new Forwarder({
       targetPort: new HttpTargets(this.#targetHttpClient),
+      clock: this.#bootClock,
       logger: this.#logger,
       info: { node, dataCentre, cores, linkMbps },
       findOwner: () => {
--- a/packages/tasks/src/index.ts
+++ b/packages/tasks/src/index.ts
@@ -1,3 +1,4 @@
+export * from './boot-clock.ts';
 export * from './clock.ts';
 export * from './listen.ts';
 export * from './periodic-runner.ts';
--- a/packages/tasks/src/remote-clock.ts
+++ b/packages/tasks/src/remote-clock.ts
@@ -31,4 +31,12 @@
   computeLocalTime(remoteMs: number): number {
     return remoteMs - Math.max(this.#offsetMs, this.#previousOffsetMs);
   }
+
+  /**
+   * Computes the reading that the other clock has reached at least at a monotonic time of this process, in
+   * milliseconds; -Infinity before the first reading.
+   */
+  computeRemoteTime(localMs: number): number {
+    return localMs + Math.max(this.#offsetMs, this.#previousOffsetMs);
+  }
 }
