fix(execution): an answered order for a VM is no proof that its targets have ended

Cause: an answer says that an order is done, not when, and the owner recorded the incarnation that was up as ended.

The end is presumed: the target gets no work, but is asked as long as the registry lists it, and a report of the same incarnation that was requested after the answer takes it back. A target that is gone cannot give one, so that the presumption holds where it is right. Arrivals after a move compare incarnations, not ids. What belongs to incarnations moves into a module of its own.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -9,7 +9,7 @@
   readonly #byVm = new Map<string, Set<TargetRecord>>();
   readonly #running = new Map<string, ResourceSum>();
   readonly #cordonedVms = new Set<string>();
-  /** Incarnations that have ended, as Unix milliseconds of their start, by target id. */
+  /** Incarnations that are presumed to have ended, as Unix milliseconds of their start, by target id. */
   readonly #terminated = new Map<string, number>();
 
   get targets(): Iterable<TargetRecord> {
@@ -30,7 +30,7 @@
   }
 
   /**
-   * Applies a registration; returns undefined if the incarnation is known to have ended.
+   * Applies a registration; returns undefined if the incarnation is presumed to have ended.
    * `leasesExpireAt` is the latest expiry of leases that a predecessor may have granted on a new
    * target.
    */
@@ -48,6 +48,7 @@
     this.#removeFromVm(known);
     known.entry = entry;
     known.isRegistered = true;
+    known.endPresumedAt = undefined;
     this.#addToVm(known);
     return known;
   }
@@ -84,22 +85,39 @@
     for (const target of this.listOnVm(vm)) target.isCordoned = false;
   }
 
-  /** Whether a target is known to have ended, so that nothing runs on it. */
+  /** Whether a target is presumed to have ended, so that nothing runs on it. */
   isTerminated({ id, entry }: TargetRecord): boolean {
     return this.#terminated.get(id) === entry.bornAt;
   }
 
-  /** Unregisters a target that has ended; later heartbeats of this incarnation are ignored. */
-  terminate(target: TargetRecord): void {
+  /**
+   * Unregisters a target whose VM was ordered away; later heartbeats of this incarnation are ignored. The
+   * answer to the order does not say when it was carried out, so the target may be one that followed:
+   * as long as the registry has its entry, a report of the same incarnation shows that it is up.
+   */
+  terminate(target: TargetRecord, now: number): void {
+    if (target.isRegistered) target.endPresumedAt = now;
     target.isRegistered = false;
+    target.isIncarnationUncertain = true;
     this.#terminated.set(target.id, target.entry.bornAt);
   }
 
+  /** Registers a target again that was presumed to have ended and has reported since. */
+  reinstate(target: TargetRecord): void {
+    const { vm } = target.entry;
+    this.#terminated.delete(target.id);
+    target.endPresumedAt = undefined;
+    target.isRegistered = true;
+    target.isCordoned = vm !== undefined && this.#cordonedVms.has(vm);
+  }
+
   /** Marks a target whose registry entry was removed; it is forgotten once no run is assigned. */
   unregister(id: string): TargetRecord | undefined {
     this.#terminated.delete(id);
     const target = this.#targets.get(id);
-    if (target !== undefined) target.isRegistered = false;
+    if (target === undefined) return undefined;
+    target.isRegistered = false;
+    target.endPresumedAt = undefined;
     return target;
   }
 
--- /dev/null
+++ b/packages/execution/src/incarnation-tracker.ts
@@ -0,0 +1,80 @@
+import type { OwnerContext } from './context.ts';
+import type { ActiveRun, EndedRun, TargetReport } from './ports.ts';
+import type { TargetRecord } from './target-record.ts';
+import { LossReason, type UnlistedRuns } from './unlisted-runs.ts';
+
+/** Percent of full speed at which a filler runs by default. */
+const FULL_PACE = 100;
+
+/**
+ * Tells the incarnations of a target apart by their reports, and ends what was known of an incarnation with
+ * it: its runs, its ended runs, the stops that it accepted, and the presumption that it has ended.
+ */
+export class IncarnationTracker {
+  readonly #context: OwnerContext;
+  readonly #unlisted: UnlistedRuns;
+
+  constructor(context: OwnerContext, unlisted: UnlistedRuns) {
+    this.#context = context;
+    this.#unlisted = unlisted;
+  }
+
+  /** Applies a report whose request was sent at `sentAt`. */
+  apply(target: TargetRecord, report: TargetReport, sentAt: number): void {
+    target.isIncarnationUncertain = false;
+    if (report.bornAt !== undefined && report.bornAt !== target.bornAt) {
+      if (target.bornAt !== undefined) this.#endIncarnation(target, report, sentAt);
+      target.bornAt = report.bornAt;
+    }
+    this.#checkPresumedEnd(target, report, sentAt);
+  }
+
+  #endIncarnation(target: TargetRecord, report: TargetReport, sentAt: number): void {
+    this.#context.logger.writeWarning('target restarted', {
+      target: target.id,
+      bornAt: report.bornAt ?? 0,
+      knownBornAt: target.bornAt ?? 0,
+    });
+    this.#endRuns(target, report, sentAt);
+    target.appliedThrough = 0;
+    target.acknowledgedThrough = 0;
+    target.pace = FULL_PACE;
+  }
+
+  /**
+   * Records the runs that had begun on the former incarnation as lost. A start without an answer may still
+   * reach the new incarnation, which knows of no stop.
+   */
+  #endRuns(target: TargetRecord, report: TargetReport, sentAt: number): void {
+    for (const { attempt } of target.assignments) {
+      attempt.stopAnsweredAt = undefined;
+      attempt.stopRetryAt = 0;
+    }
+    const lost = [...target.assignments].filter(
+      ({ task, attempt }) =>
+        sentAt > attempt.expectedInReportsAfter && !isListed(report, task.name, attempt.run),
+    );
+    this.#context.crashes.recordCrash(target, lost);
+    if (report.hasMoreEnds) return;
+    for (const assignment of lost) {
+      if (assignment.attempt.hasBegun)
+        this.#unlisted.recordLost(target, assignment, LossReason.OtherIncarnation);
+    }
+  }
+
+  /** Takes a target back that reports although its VM was ordered away before the request. */
+  #checkPresumedEnd(target: TargetRecord, { bornAt }: TargetReport, sentAt: number): void {
+    const { fleet, logger } = this.#context;
+    const { endPresumedAt, entry } = target;
+    if (endPresumedAt === undefined || sentAt <= endPresumedAt) return;
+    if (bornAt !== undefined && bornAt !== entry.bornAt) return;
+    fleet.reinstate(target);
+    logger.writeInfo('target still up', { target: target.id, vm: entry.vm ?? '' });
+  }
+}
+
+function isListed({ running, ended }: TargetReport, task: string, run: number): boolean {
+  const isSame = (listed: ActiveRun | EndedRun): boolean =>
+    listed.task === task && listed.run === run;
+  return running.some(isSame) || ended.some(isSame);
+}
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -19,6 +19,8 @@
 const READ_MARGIN_MS = 50;
 /** Milliseconds before a renewal is retried on a target that did not answer. */
 const NO_ANSWER_RETRY_MS = 300;
+/** Milliseconds before the same on a target that is presumed to have ended. */
+const ENDED_RETRY_MS = 1_000;
 /**
  * Targets that are asked for their first report at the same time, so that a new owner with a weak
  * processor or link does not delay its own lease renewals.
@@ -87,7 +89,8 @@
   recordSilence(target: TargetRecord): void {
     target.unansweredCalls += 1;
     target.isIncarnationUncertain = true;
-    target.renewNotBefore = this.#context.clock.now + NO_ANSWER_RETRY_MS;
+    const retryMs = target.endPresumedAt === undefined ? NO_ANSWER_RETRY_MS : ENDED_RETRY_MS;
+    target.renewNotBefore = this.#context.clock.now + retryMs;
   }
 
   /** Records that a target left a call unanswered, so that it and others may do so again. */
@@ -143,7 +146,10 @@
     const { now } = clock;
     if (target.isRenewalInFlight || now < target.renewNotBefore) return;
     if (now < target.retryAcknowledgementAt) return;
-    const isNeeded = target.assignmentCount > 0 || reconciliation.isPartlyReported(target.id);
+    const isNeeded =
+      target.assignmentCount > 0 ||
+      target.endPresumedAt !== undefined ||
+      reconciliation.isPartlyReported(target.id);
     if (!target.isRegistered && !isNeeded) {
       fleet.forget(target);
       return;
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -10,22 +10,13 @@
 import { EndKind } from '@currantgap/model';
 import type { LogContext } from '@currantgap/telemetry';
 import { getMaximumAttempts, getWallNow, type OwnerContext } from './context.ts';
+import { IncarnationTracker } from './incarnation-tracker.ts';
 import { parseTaskName } from './job-index.ts';
 import type { JobLookup } from './job-lookup.ts';
 import { buildAttempt, type RunOrders } from './run-orders.ts';
 import type { ActiveRun, EndedRun, TargetReport } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
-import { UnlistedRuns } from './unlisted-runs.ts';
-
-/** Percent of full speed at which a filler runs by default. */
-const FULL_PACE = 100;
-
-/** Reason why all runs on a target are lost. */
-export enum LossReason {
-  LeasesExpired = 'lease lapsed',
-  OtherIncarnation = 'another incarnation answers',
-  VmOrdered = 'VM moved or maintained',
-}
+import { LossReason, UnlistedRuns } from './unlisted-runs.ts';
 
 /** Applies target reports: active runs, ended runs and assigned runs that are in neither list. */
 export class ReportProcessor {
@@ -33,12 +24,14 @@
   readonly #orders: RunOrders;
   readonly #lookup: JobLookup;
   readonly #unlisted: UnlistedRuns;
+  readonly #incarnations: IncarnationTracker;
 
   constructor(context: OwnerContext, orders: RunOrders, lookup: JobLookup) {
     this.#context = context;
     this.#orders = orders;
     this.#lookup = lookup;
     this.#unlisted = new UnlistedRuns(context, orders);
+    this.#incarnations = new IncarnationTracker(context, this.#unlisted);
   }
 
   /**
@@ -49,7 +42,7 @@
     const { clock, reconciliation } = this.#context;
     const { now } = clock;
     target.unansweredCalls = 0;
-    this.#checkIncarnation(target, report, sentAt);
+    this.#incarnations.apply(target, report, sentAt);
     target.recordClock(report.clockMs, now);
     if (report.running.length > 0) target.recordActiveRuns(reconciliation.leaseMs, now);
     this.#recordReconciled(target, report);
@@ -143,53 +136,6 @@
     this.enqueueLedgerWrite(job.id);
   }
 
-  /** Resets the state that belongs to the previous incarnation if another one reports. */
-  #checkIncarnation(target: TargetRecord, report: TargetReport, sentAt: number): void {
-    const { logger } = this.#context;
-    target.isIncarnationUncertain = false;
-    if (report.bornAt === undefined || report.bornAt === target.bornAt) return;
-    if (target.bornAt !== undefined) {
-      logger.writeWarning('target restarted', {
-        target: target.id,
-        bornAt: report.bornAt,
-        knownBornAt: target.bornAt,
-      });
-      this.#endIncarnation(target, report, sentAt);
-      target.appliedThrough = 0;
-      target.acknowledgedThrough = 0;
-      target.pace = FULL_PACE;
-    }
-    target.bornAt = report.bornAt;
-  }
-
-  /**
-   * Records the runs that began on the incarnation before the one that reports as lost with it. A start
-   * without an answer may still reach the new incarnation, which knows of no stop.
-   */
-  #endIncarnation(
-    target: TargetRecord,
-    { running, ended, ...report }: TargetReport,
-    sentAt: number,
-  ) {
-    const lost: Assignment[] = [];
-    for (const assignment of target.assignments) {
-      const { task, attempt } = assignment;
-      const isRun = (run: ActiveRun | EndedRun): boolean =>
-        run.task === task.name && run.run === attempt.run;
-      if (running.some(isRun) || ended.some(isRun)) continue;
-      attempt.stopAnsweredAt = undefined;
-      attempt.stopRetryAt = 0;
-      if (attempt.bornAt !== report.bornAt) lost.push(assignment);
-    }
-    this.#context.crashes.recordCrash(target, lost);
-    if (report.hasMoreEnds) return;
-    for (const assignment of lost) {
-      const { hasBegun, expectedInReportsAfter } = assignment.attempt;
-      if (hasBegun && sentAt > expectedInReportsAfter)
-        this.#unlisted.recordLost(target, assignment, LossReason.OtherIncarnation);
-    }
-  }
-
   #applyRunning(target: TargetRecord, running: ActiveRun): Assignment | undefined {
     const assignment = target.find(running.task, running.run) ?? this.#adopt(target, running);
     if (assignment === undefined) return undefined;
--- a/packages/execution/src/report-receiver.ts
+++ b/packages/execution/src/report-receiver.ts
@@ -2,7 +2,8 @@
 import type { LeaseRenewer } from './lease-renewer.ts';
 import type { OwnerMessage } from './messages.ts';
 import { LeaseRenewalFault } from './ports.ts';
-import { LossReason, type ReportProcessor } from './report-processor.ts';
+import type { ReportProcessor } from './report-processor.ts';
+import { LossReason } from './unlisted-runs.ts';
 
 /** Receives the answers of targets to lease renewals and to requests for a report. */
 export class ReportReceiver {
--- a/packages/execution/src/run-expiry.ts
+++ b/packages/execution/src/run-expiry.ts
@@ -1,7 +1,8 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import type { OwnerContext } from './context.ts';
-import { LossReason, type ReportProcessor } from './report-processor.ts';
+import type { ReportProcessor } from './report-processor.ts';
 import type { RunOrders } from './run-orders.ts';
+import { LossReason } from './unlisted-runs.ts';
 
 /** Milliseconds after the computed lease expiry at which a run counts as lost. */
 const LEASE_EXPIRY_MARGIN_MS = 100;
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -18,6 +18,11 @@
   entry: TargetEntry;
   /** Whether the registry has an entry for the target. */
   isRegistered = true;
+  /**
+   * Time from which the incarnation in the registry is presumed to have ended, although its entry is still there;
+   * undefined if it is not.
+   */
+  endPresumedAt: number | undefined;
   /** Start of the incarnation that sent the last report, Unix milliseconds. */
   bornAt: number | undefined;
   /** Time of the last report of this term; undefined before the first. */
--- a/packages/execution/src/unlisted-runs.ts
+++ b/packages/execution/src/unlisted-runs.ts
@@ -3,6 +3,13 @@
 import type { RunOrders } from './run-orders.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
 
+/** Reason why all runs on a target are lost. */
+export enum LossReason {
+  LeasesExpired = 'lease lapsed',
+  OtherIncarnation = 'another incarnation answers',
+  VmOrdered = 'VM moved or maintained',
+}
+
 /** A report that does not list a run. */
 export interface ListingReport {
   /** Monotonic time at which the report was requested, in milliseconds. */
--- a/packages/execution/src/vm-arrival.ts
+++ b/packages/execution/src/vm-arrival.ts
@@ -24,6 +24,6 @@
       isRegistered &&
       entry.service === plan.pool &&
       reportedAt > orderedAt &&
-      !endingTargets.has(id),
+      (!endingTargets.has(id) || (endingTargets.get(id) ?? entry.bornAt) !== entry.bornAt),
   );
 }
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -4,11 +4,12 @@
 import { canStopPersistent } from './disruption-budget.ts';
 import type { RunOrders } from './run-orders.ts';
 import { VmOrderOutcome, type VmPort } from './ports.ts';
-import { LossReason, type ReportProcessor } from './report-processor.ts';
+import type { ReportProcessor } from './report-processor.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
 import { hasArrived, listEndingTargets } from './vm-arrival.ts';
 import { findOccupancy, VmOccupancy } from './vm-occupancy.ts';
 import { VmPhase, type VmOperation, type VmOrders, type VmPlan } from './vm-orders.ts';
+import { LossReason } from './unlisted-runs.ts';
 
 /** Milliseconds between reads of the VM list while operations are in progress, or if it is requested. */
 const ACTIVE_LIST_PERIOD_MS = 500;
@@ -248,8 +249,8 @@
   }
 
   /**
-   * Removes the targets that an order has ended. One that has registered since may follow them, or end
-   * too: it gets work once the VM is listed as up.
+   * Removes the targets that an order should have ended. One that has registered since may follow them, or
+   * end too: it gets work once the VM is listed as up.
    */
   #removeTargets({ vm, endingTargets }: VmOperation): void {
     const { fleet } = this.#context;
@@ -257,7 +258,8 @@
       if (!endingTargets.has(target.id)) continue;
       const bornAt = endingTargets.get(target.id) ?? target.entry.bornAt;
       if (bornAt !== target.entry.bornAt) continue;
-      fleet.terminate(target);
+      fleet.terminate(target, this.#context.clock.now);
+      this.#context.logger.writeInfo('target presumed ended', { target: target.id, vm, bornAt });
       this.#reportProcessor.recordAllLost(target, LossReason.VmOrdered);
     }
     if (fleet.listOnVm(vm).length === 0) fleet.uncordon(vm);
--- a/packages/execution/test/deadly-tasks.test.ts
+++ b/packages/execution/test/deadly-tasks.test.ts
@@ -6,10 +6,11 @@
 import { Planner } from '../src/planner.ts';
 import { StartOutcome } from '../src/ports.ts';
 import { Quarantine } from '../src/quarantine.ts';
-import { LossReason, ReportProcessor } from '../src/report-processor.ts';
+import { ReportProcessor } from '../src/report-processor.ts';
 import { RunOrders } from '../src/run-orders.ts';
 import type { TargetRecord } from '../src/target-record.ts';
 import { createReport, createRunning, LEASE_MS, TermHarness } from './term-harness.ts';
+import { LossReason } from '../src/unlisted-runs.ts';
 
 const DEADLY = '00000000000000d1';
 /** Milliseconds between two rounds of reports, sweeps and planning. */
--- a/packages/execution/test/later-incarnations.test.ts
+++ b/packages/execution/test/later-incarnations.test.ts
@@ -5,9 +5,10 @@
 import { MAXIMUM_CALL_AGE_MS } from '../src/call-timing.ts';
 import { JobLookup } from '../src/job-lookup.ts';
 import { OrderOutcome, StartOutcome, type TargetReport } from '../src/ports.ts';
-import { LossReason, ReportProcessor } from '../src/report-processor.ts';
+import { ReportProcessor } from '../src/report-processor.ts';
 import { RunOrders } from '../src/run-orders.ts';
 import { createEnded, createReport, createRunning, TermHarness } from './term-harness.ts';
+import { LossReason } from '../src/unlisted-runs.ts';
 
 /** Longest lease of the harness on this node's clock, in milliseconds. */
 const MAXIMUM_LEASE_MS = 10_000 / 0.98;
--- a/packages/execution/test/run-copier.test.ts
+++ b/packages/execution/test/run-copier.test.ts
@@ -5,7 +5,7 @@
 import { CopyOutcome } from '../src/copy-log.ts';
 import { JobLookup } from '../src/job-lookup.ts';
 import { OrderOutcome, StartOutcome } from '../src/ports.ts';
-import { LossReason, ReportProcessor } from '../src/report-processor.ts';
+import { ReportProcessor } from '../src/report-processor.ts';
 import { buildAttempt, RunOrders } from '../src/run-orders.ts';
 import type { TargetRecord } from '../src/target-record.ts';
 import { computeUnreportedRuns } from '../src/unreported-runs.ts';
@@ -18,6 +18,7 @@
   TermHarness,
 } from './term-harness.ts';
 import { CopyHarness } from './copy-harness.ts';
+import { LossReason } from '../src/unlisted-runs.ts';
 
 const ID = '0000000000000001';
 
--- a/packages/execution/test/target-roster.test.ts
+++ b/packages/execution/test/target-roster.test.ts
@@ -127,7 +127,7 @@
     const { harness, target } = await createHarness();
     await sweepUntil(harness, target, RosterState.Listed);
     target.leasesExpireAt = harness.now + LEASE_MS;
-    harness.fleet.terminate(target);
+    harness.fleet.terminate(target, harness.now);
     harness.context.roster.sweep();
     await waitUntil(() => harness.store.peek(ROW) === undefined);
   });
--- a/packages/execution/test/vm-controller.test.ts
+++ b/packages/execution/test/vm-controller.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { VmOrderOutcome } from '../src/ports.ts';
 import { buildAttempt } from '../src/run-orders.ts';
-import { createTarget, flushPromises } from './term-harness.ts';
+import { createReport, createTarget, flushPromises } from './term-harness.ts';
 import { createController, VM } from './vm-harness.ts';
 
 describe('a VM with a plan', () => {
@@ -143,6 +143,28 @@
     log.stop();
   });
 
+  // Case 8 of the second review, LOST: an order that an earlier owner had carried out was repeated and answered,
+  // after which the owner ignored the targets that had followed, although they were up.
+  it('gets work on a target that reports after an order that had been carried out before', async () => {
+    const { harness, port, controller, log, reportProcessor } = await createController();
+    const target = harness.addTarget('t1');
+    const before = harness.now;
+    controller.startPlan(VM.name, { kind: 'maintain', wave: 1 });
+    controller.sweep();
+    await waitUntil(() => port.maintained.length === 1);
+    await flushPromises();
+    harness.advance(500);
+    controller.sweep();
+    await flushPromises();
+    harness.fleet.register(createTarget('t1'), 0);
+    reportProcessor.apply(target, createReport(), before);
+    assert.equal(target.isOpen(harness.now), false, 'the report was requested before the order');
+    reportProcessor.apply(target, createReport({ bornAt: 1, clockMs: 700 }), harness.now);
+    assert.ok(target.isOpen(harness.now));
+    assert.deepEqual(harness.fleet.listOnVm(VM.name), [target]);
+    log.stop();
+  });
+
   it('gets work again when the plan is abandoned', async () => {
     const { harness, controller, log } = await createController();
     const target = harness.addTarget('t1');
--- a/packages/execution/test/vm-harness.ts
+++ b/packages/execution/test/vm-harness.ts
@@ -60,15 +60,16 @@
   port.vms = vms;
   const log = new VmOrderLog(context, store);
   const orders = new RunOrders(context);
+  const reportProcessor = new ReportProcessor(context, orders, new JobLookup(context, store));
   const controller = new VmController({
     context,
     orders,
-    reportProcessor: new ReportProcessor(context, orders, new JobLookup(context, store)),
+    reportProcessor,
     vmOrders: new VmOrders({ context, port, log, hasFreshLease: () => true }),
     port,
     onMaintained: () => undefined,
   });
   controller.sweep();
   await flushPromises();
-  return { harness, port, controller, log, orders };
+  return { harness, port, controller, log, orders, reportProcessor };
 }
