fix(execution): an announced end belongs to the incarnation that announced it

Cause: a restart was checked against the newest registration under the id, which is that of the next incarnation and says ready.

A target's record keeps which incarnations have announced their end, by draining or by an order for their VM; recorded orders of an earlier owner count as well. A crash is checked against them when it is found, so that later registrations change nothing. Unannounced ends count as before.

--- a/packages/execution/src/crash-detector.ts
+++ b/packages/execution/src/crash-detector.ts
@@ -1,5 +1,4 @@
 import { recordCrash, type CrashedRun, type CrashVerdict } from '@currantgap/jobs';
-import { TargetState } from '@currantgap/model';
 import type { Clock } from '@currantgap/tasks';
 import type { Logger } from '@currantgap/telemetry';
 import type { Fleet } from './fleet.ts';
@@ -29,7 +28,7 @@
 
 /**
  * Tells crashed targets from silent ones. A target has crashed if another incarnation answers for it
- * or registers on its VM, although it neither drained nor was ordered away. A target that is only cut
+ * or registers on its VM, although its end was not announced, by draining or by an order for the VM. A target that is only cut
  * off answers again or stays silent, which says nothing about the tasks that it ran.
  */
 export class CrashDetector {
@@ -44,11 +43,12 @@
   /** Records runs that were lost because all leases on their silent target have expired. */
   recordSilentLoss(target: TargetRecord, lost: readonly Assignment[]): void {
     const runs = describeRuns(target, lost);
-    if (target.entry.state === TargetState.Draining || runs.length === 0) return;
+    const bornAt = target.bornAt ?? target.entry.bornAt;
+    if (runs.length === 0 || this.#isEndPlanned(target, bornAt)) return;
     const { now } = this.#options.clock;
     const loss = {
       target,
-      bornAt: target.bornAt ?? target.entry.bornAt,
+      bornAt,
       runs,
       lostAt: now,
       expiresAt: now + RESOLUTION_MS,
@@ -65,8 +65,8 @@
   /** Records that another incarnation has replaced the one with these runs. */
   recordCrash(target: TargetRecord, lost: readonly Assignment[]): void {
     const runs = describeRuns(target, lost);
-    if (target.entry.state === TargetState.Draining || runs.length === 0) return;
-    this.#recordCrash(target, lost[0]?.attempt.bornAt ?? 0, runs);
+    const bornAt = lost[0]?.attempt.bornAt ?? 0;
+    if (runs.length > 0) this.#recordCrash(target, bornAt, runs);
   }
 
   /** Takes the verdicts on all crashes that were detected since the last call. */
@@ -100,7 +100,16 @@
     return successors.some(({ entry }) => entry.bornAt > bornAt);
   }
 
+  /** Whether the end of an incarnation was announced, so that no task has caused it. */
+  #isEndPlanned(target: TargetRecord, bornAt: number): boolean {
+    const { clock, fleet, logger } = this.#options;
+    const isPlanned = fleet.hasAnnouncedEnd(target, bornAt, clock.now);
+    if (isPlanned) logger.writeInfo('target end planned', { target: target.id, bornAt });
+    return isPlanned;
+  }
+
   #recordCrash(target: TargetRecord, bornAt: number, runs: readonly CrashedRun[]): void {
+    if (this.#isEndPlanned(target, bornAt)) return;
     const verdict = recordCrash(`${target.id}@${bornAt}`, runs);
     this.#verdicts.push(verdict);
     this.#options.logger.writeWarning('target crashed', {
--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -11,6 +11,8 @@
   readonly #cordonedVms = new Set<string>();
   /** Incarnations that are presumed to have ended, as Unix milliseconds of their start, by target id. */
   readonly #terminated = new Map<string, number>();
+  /** Monotonic times until which an order of an earlier owner may end the targets of a VM. */
+  readonly #earlierOrders = new Map<string, number>();
 
   get targets(): Iterable<TargetRecord> {
     return this.#targets.values();
@@ -73,6 +75,23 @@
     return names;
   }
 
+  /** Records that the targets on a VM are ordered to end. */
+  announceEnd(vm: string): void {
+    for (const target of this.listOnVm(vm)) target.announceEnd();
+  }
+
+  /** Records that an earlier owner has ordered a VM, so that its targets may end until a monotonic time. */
+  recordEarlierOrder(vm: string, until: number): void {
+    this.#earlierOrders.set(vm, until);
+  }
+
+  /** Whether an incarnation has ended, or may have, as was announced or ordered. */
+  hasAnnouncedEnd(target: TargetRecord, bornAt: number, now: number): boolean {
+    const { vm } = target.entry;
+    const orderedUntil = vm === undefined ? undefined : this.#earlierOrders.get(vm);
+    return target.hasAnnouncedEnd(bornAt) || now < (orderedUntil ?? -Infinity);
+  }
+
   /** Gives a VM no new work; this includes a target that registers there later. */
   cordon(vm: string): void {
     this.#cordonedVms.add(vm);
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -15,7 +15,9 @@
 
 /** The owner's state of one target. Times are milliseconds on this node's monotonic clock. */
 export class TargetRecord {
-  entry: TargetEntry;
+  #entry: TargetEntry;
+  /** Incarnations whose end was announced, Unix milliseconds of their start. */
+  readonly #announcedEnds = new Set<number>();
   /** Whether the registry has an entry for the target. */
   isRegistered = true;
   /**
@@ -78,10 +80,31 @@
   #clockReadAt = 0;
 
   constructor(entry: TargetEntry, leasesExpireAt: number) {
+    this.#entry = entry;
     this.entry = entry;
     this.leasesExpireAt = leasesExpireAt;
   }
 
+  /** The target's last registration. */
+  get entry(): TargetEntry {
+    return this.#entry;
+  }
+
+  set entry(entry: TargetEntry) {
+    this.#entry = entry;
+    if (entry.state === TargetState.Draining) this.announceEnd();
+  }
+
+  /** Records that the registered incarnation will end as planned. */
+  announceEnd(): void {
+    this.#announcedEnds.add(this.#entry.bornAt);
+  }
+
+  /** Whether the end of an incarnation was announced, even if another one has registered since. */
+  hasAnnouncedEnd(bornAt: number): boolean {
+    return this.#announcedEnds.has(bornAt);
+  }
+
   get id(): string {
     return this.entry.id;
   }
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -242,6 +242,7 @@
     if (!operation.isUncertain) operation.endingTargets = listEndingTargets(vm, targets);
     const { plan } = operation;
     const reports = describeReports(targets, clock.now);
+    fleet.announceEnd(vm.name);
     this.#context.logger.writeInfo('VM order sent', { vm: vm.name, plan: plan.kind, reports });
     void this.#vmOrders.send(operation).then((outcome) => {
       this.#applyOutcome(operation, outcome);
--- a/packages/execution/src/vm-order-log.ts
+++ b/packages/execution/src/vm-order-log.ts
@@ -8,6 +8,8 @@
 const ROW_KEY = 'recent';
 /** Milliseconds beyond the protocol's minimum time between orders of two lease holders. */
 const HOLDER_CHANGE_MARGIN_MS = 250;
+/** Milliseconds in which an order of an earlier owner may show its effect: its call, leases and a registration. */
+const ORDER_EFFECT_MS = 10_000;
 /** Milliseconds after an entry was sent to the store in which its order may be sent. */
 const ENTRY_VALIDITY_MS = 700;
 
@@ -41,7 +43,7 @@
 
   /** Loads the orders of earlier owners. */
   load(rows: readonly Row[]): void {
-    const { clock, logger } = this.#context;
+    const { clock, fleet, logger } = this.#context;
     const storeNow = this.#store.now;
     for (const { value, version } of rows) {
       this.#row.version = version;
@@ -53,6 +55,7 @@
       }
       for (const [vm, orderedAt] of entries) {
         this.#blockedUntil.set(vm, clock.now + this.#pauseMs - (storeNow - orderedAt));
+        fleet.recordEarlierOrder(vm, clock.now + ORDER_EFFECT_MS);
       }
     }
   }
