fix(execution): a target that restarted under its id may hold the longest lease

Cause: calls that were sent to a crashed target reached its next incarnation, whose clock had begun anew, so that their deadlines gave it the longest lease; the owner counted on the 3 s that it had granted.

After a restart, leases count as the longest from the last moment at which an old call can have arrived. A start that was accepted by a clock that is behind counts like a restart. A new owner assumes the same of targets that started lately, and awaits silent ones that long. So the owner never takes a lease for over that a call of its own, or of its predecessor, may have extended.

--- a/packages/execution/src/context.ts
+++ b/packages/execution/src/context.ts
@@ -17,6 +17,7 @@
 import type { Reconciliation } from './reconciliation.ts';
 import type { RouteHistory } from './route-history.ts';
 import type { SweepDelay } from './sweep-delay.ts';
+import { MINIMUM_CLOCK_RATE } from './target-record.ts';
 import type { TargetRoster } from './target-roster.ts';
 
 /** Limits that the deployment sets; milliseconds unless stated otherwise. */
@@ -69,6 +70,11 @@
   readonly depose: (reason: string) => void;
 }
 
+/** Computes the longest lease that a target grants, on this node's clock, in milliseconds. */
+export function computeMaximumLeaseMs({ bounds }: Pick<OwnerContext, 'bounds'>): number {
+  return bounds.leaseMaximumMs / MINIMUM_CLOCK_RATE;
+}
+
 /** Gets this node's wall clock time, Unix milliseconds. */
 export function getWallNow(): number {
   return Date.now();
--- a/packages/execution/src/incarnation-tracker.ts
+++ b/packages/execution/src/incarnation-tracker.ts
@@ -1,4 +1,5 @@
-import type { OwnerContext } from './context.ts';
+import { MAXIMUM_RENEWAL_AGE_MS } from './call-timing.ts';
+import { computeMaximumLeaseMs, type OwnerContext } from './context.ts';
 import type { ActiveRun, EndedRun, TargetReport } from './ports.ts';
 import type { TargetRecord } from './target-record.ts';
 import { LossReason, type UnlistedRuns } from './unlisted-runs.ts';
@@ -24,6 +25,7 @@
     target.isIncarnationUncertain = false;
     if (report.bornAt !== undefined && report.bornAt !== target.bornAt) {
       if (target.bornAt !== undefined) this.#endIncarnation(target, report, sentAt);
+      else this.#checkEarlierGrants(target, report);
       target.bornAt = report.bornAt;
     }
     this.#checkPresumedEnd(target, report, sentAt);
@@ -36,11 +38,29 @@
       knownBornAt: target.bornAt ?? 0,
     });
     this.#endRuns(target, report, sentAt);
+    target.recordRestart(computeMaximumLeaseMs(this.#context), this.#context.clock.now);
+    this.#writeLongestLease(target, 'restart');
     target.appliedThrough = 0;
     target.acknowledgedThrough = 0;
+    target.confirmedThrough = 0;
     target.pace = FULL_PACE;
   }
 
+  /**
+   * Takes into account that an earlier owner, which may not have known the incarnation that reports for the
+   * first time, has sent it grants on the clock of a former one. It is fenced off from now on.
+   */
+  #checkEarlierGrants(target: TargetRecord, { clockMs }: TargetReport): void {
+    const { clock, reconciliation, term } = this.#context;
+    const maximumLeaseMs = computeMaximumLeaseMs(this.#context);
+    const latestGrantAt = reconciliation.predecessorDeposedAt + MAXIMUM_RENEWAL_AGE_MS;
+    const latestBirthAt = clock.now - clockMs;
+    const isYoung = clockMs < maximumLeaseMs + MAXIMUM_RENEWAL_AGE_MS;
+    if (term.predecessor === undefined || !isYoung || latestBirthAt > latestGrantAt) return;
+    target.recordForeignGrant(clock.now, maximumLeaseMs);
+    this.#writeLongestLease(target, 'earlier owner');
+  }
+
   /**
    * Records the runs that had begun on the former incarnation as lost. A start without an answer may still
    * reach the new incarnation, which knows of no stop.
@@ -62,6 +82,15 @@
     }
   }
 
+  #writeLongestLease(target: TargetRecord, reason: string): void {
+    const { clock, logger } = this.#context;
+    logger.writeInfo('longest lease assumed', {
+      target: target.id,
+      reason,
+      leaseEndsInMs: Math.round(target.leasesExpireAt - clock.now),
+    });
+  }
+
   /** Takes a target back that reports although its VM was ordered away before the request. */
   #checkPresumedEnd(target: TargetRecord, { bornAt }: TargetReport, sentAt: number): void {
     const { fleet, logger } = this.#context;
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -1,11 +1,10 @@
 import { Feature } from '@currantgap/model';
 import type { ResponseTimes } from '@currantgap/scheduling';
+import { MAXIMUM_POLL_MS } from './call-timing.ts';
 import type { OwnerContext } from './context.ts';
 import { EndAcknowledger } from './end-acknowledger.ts';
 import type { TargetRecord } from './target-record.ts';
 
-/** Milliseconds for which a target may delay its answer until a run ends: a quarter of a lease. */
-const LONG_POLL_MS = 750;
 /**
  * The same while calls of targets have been left unanswered lately: the ends of runs are learned at the
  * latest by the renewal after a lost one.
@@ -137,7 +136,7 @@
   #getPollMs({ assignmentCount }: TargetRecord): number {
     const { clock, sweepDelay } = this.#context;
     const isWary = assignmentCount > 0 && clock.now < this.#waryUntil;
-    return isWary && !sweepDelay.isBusy(clock.now) ? WARY_POLL_MS : LONG_POLL_MS;
+    return isWary && !sweepDelay.isBusy(clock.now) ? WARY_POLL_MS : MAXIMUM_POLL_MS;
   }
 
   #sendIfDue(target: TargetRecord): void {
@@ -158,19 +157,32 @@
     target.renewal += 1;
     const { renewal, bornAt: knownBornAt } = target;
     const isClockKnown = target.hasClock && !target.isIncarnationUncertain;
+    const waitMs =
+      isClockKnown && !this.#hasUnacknowledgedEnds(target) ? this.#getPollMs(target) : 0;
+    const isUnconfirmed = target.acknowledgedThrough > target.confirmedThrough;
     const order = {
       token: term.token,
-      acknowledgedThrough: isClockKnown ? target.acknowledgedThrough : 0,
+      // Repeated, it might make a later incarnation forget ends that nobody has read.
+      acknowledgedThrough: isClockKnown && isUnconfirmed ? target.acknowledgedThrough : 0,
       // A restart resets the target's clock, so a deadline computed from an old reading is invalid.
       deadline:
         isClockKnown && !partitionGuard.shouldPause()
-          ? target.grantLease(leasePolicy.computeLeaseMs(now), now)
+          ? target.grantLease(leasePolicy.computeLeaseMs(now), now, waitMs)
           : undefined,
-      waitMs: isClockKnown && !this.#hasUnacknowledgedEnds(target) ? this.#getPollMs(target) : 0,
+      waitMs,
     };
-    target.renewalDueAt = now + order.waitMs + this.#responseTimes.limitMs;
+    target.renewalDueAt = now + waitMs + this.#responseTimes.limitMs;
     void targetPort.renewLeases(target.address, order).then((report) => {
-      post({ kind: 'held', target, renewal, sentAt: now, knownBornAt, report });
+      const { acknowledgedThrough } = order;
+      post({
+        kind: 'held',
+        target,
+        renewal,
+        acknowledgedThrough,
+        sentAt: now,
+        knownBornAt,
+        report,
+      });
     });
   }
 }
--- a/packages/execution/src/messages.ts
+++ b/packages/execution/src/messages.ts
@@ -20,6 +20,8 @@
       readonly target: TargetRecord;
       /** Number of the renewal; later ones of the same target have higher numbers. */
       readonly renewal: number;
+      /** Highest sequence of ended runs that it acknowledged. */
+      readonly acknowledgedThrough: number;
       /** Monotonic time at which the renewal was sent, in milliseconds. */
       readonly sentAt: number;
       /** Incarnation of the target that was known when the renewal was sent. */
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -248,7 +248,8 @@
         break;
       case 'started':
         this.#orders.applyStartOutcome(message.target, message.assignment, message.outcome);
-        if (isUnanswered(message.outcome)) this.#leaseRenewer.requestReport(message.target);
+        if (isUnanswered(message.outcome) || message.target.isIncarnationUncertain)
+          this.#leaseRenewer.requestReport(message.target);
         if (message.outcome === StartOutcome.TicketInvalid) {
           this.#advice.removeTicket(message.assignment.task.step, message.target.id);
         }
--- a/packages/execution/src/ports.ts
+++ b/packages/execution/src/ports.ts
@@ -26,6 +26,8 @@
   readonly spec: string;
   /** Milliseconds on the target's clock after which the target refuses the order. */
   readonly deadline: number;
+  /** Reading, in milliseconds, that the clock of the incarnation that the order is meant for has passed. */
+  readonly minimumClockMs: number;
   /** Fencing token of the owner's term. */
   readonly token: number;
   /** Checkpoint from which the run resumes; empty if there is none. */
@@ -37,6 +39,8 @@
 /** Outcome of a start order. */
 export enum StartOutcome {
   Accepted = 'accepted',
+  /** A later incarnation has accepted the order, whose deadline is on the clock of the former one. */
+  AcceptedLater = 'accepted-by-later-lifetime',
   /** The target has seen a higher fencing token. */
   Fenced = 'fenced',
   /** A run with this or a higher number was stopped or has ended on the target. */
@@ -61,6 +65,11 @@
   Unknown = 'unknown',
 }
 
+/** Whether a target has begun the run of a start with this outcome. */
+export function isAccepted(outcome: StartOutcome): boolean {
+  return outcome === StartOutcome.Accepted || outcome === StartOutcome.AcceptedLater;
+}
+
 /** Whether a target may have carried out, or may still carry out, a start with this outcome. */
 export function isUnanswered(outcome: StartOutcome): boolean {
   return outcome === StartOutcome.Abandoned || outcome === StartOutcome.Unknown;
--- a/packages/execution/src/reconciliation.ts
+++ b/packages/execution/src/reconciliation.ts
@@ -3,6 +3,13 @@
 /** Milliseconds after which a predecessor that still runs has learnt from a target that it is deposed. */
 const DEPOSITION_NOTICE_MS = 1_000;
 
+/** A target of an earlier term that has not reported yet. */
+interface PendingReport {
+  readonly target: LeasedTarget;
+  /** Monotonic time at which its leases of earlier terms have expired, in milliseconds. */
+  readonly leasesExpireAt: number;
+}
+
 /**
  * Decides when a new owner may start tasks without duplicating runs of earlier terms. The runs that
  * a predecessor started are known once every target on which it may hold leases has reported under
@@ -14,18 +21,18 @@
 export class Reconciliation {
   /** Longest time in milliseconds, on this node's clock, for which a lease of an earlier term lasts. */
   readonly leaseMs: number;
-  readonly #pending = new Map<string, LeasedTarget>();
+  readonly #pending = new Map<string, PendingReport>();
   /** Services of targets that have reported, but not all of their ended runs, by target id. */
   readonly #partial = new Map<string, string>();
   readonly #deadline: number;
   /** Monotonic time from which a predecessor that still runs knows that it is deposed. */
-  readonly #predecessorDeposedAt: number;
+  readonly predecessorDeposedAt: number;
 
   /** `leaseMs` is the longest time for which a lease can last on this node's clock. */
   constructor(leaseMs: number, now: number) {
     this.leaseMs = leaseMs;
-    this.#predecessorDeposedAt = now + DEPOSITION_NOTICE_MS;
-    this.#deadline = this.#predecessorDeposedAt + leaseMs;
+    this.predecessorDeposedAt = now + DEPOSITION_NOTICE_MS;
+    this.#deadline = this.predecessorDeposedAt + leaseMs;
   }
 
   /** Monotonic time after which every lease of earlier terms has expired, in milliseconds. */
@@ -33,9 +40,16 @@
     return this.#deadline;
   }
 
-  /** Waits for a target that a roster of an earlier term or the registry lists. */
-  expectReport(target: LeasedTarget): void {
-    if (!this.#pending.has(target.id)) this.#pending.set(target.id, target);
+  /**
+   * Waits for a target that a roster of an earlier term or the registry lists, until a monotonic time at
+   * which its leases of earlier terms have expired.
+   */
+  expectReport(target: LeasedTarget, leasesExpireAt = this.#deadline): void {
+    const known = this.#pending.get(target.id);
+    this.#pending.set(target.id, {
+      target: known?.target ?? target,
+      leasesExpireAt: Math.max(leasesExpireAt, known?.leasesExpireAt ?? -Infinity),
+    });
   }
 
   /** Records that a target has reported all its runs under the new token; true if it was awaited. */
@@ -66,8 +80,7 @@
    */
   canStartInherited(taskName: string, services: readonly string[], now: number): boolean {
     if (this.#isPoolPartlyReported(services)) return false;
-    if (now >= this.#deadline) return true;
-    for (const target of this.#pending.values()) {
+    for (const target of this.listPending(now)) {
       if (target.tasks?.includes(taskName)) return false;
       if (target.tasks === undefined && services.includes(target.service)) return false;
     }
@@ -81,13 +94,14 @@
    */
   canStartNew(services: readonly string[], now: number): boolean {
     if (this.#isPoolPartlyReported(services)) return false;
-    if (now >= this.#predecessorDeposedAt) return true;
-    return ![...this.#pending.values()].some(({ service }) => services.includes(service));
+    if (now >= this.predecessorDeposedAt) return true;
+    return !this.listPending(now).some(({ service }) => services.includes(service));
   }
 
   /** Lists the targets whose report is pending; empty once their leases have expired. */
   listPending(now: number): readonly LeasedTarget[] {
-    return now >= this.#deadline ? [] : [...this.#pending.values()];
+    const pending = [...this.#pending.values()];
+    return pending.filter(({ leasesExpireAt }) => now < leasesExpireAt).map(({ target }) => target);
   }
 
   #isPoolPartlyReported(services: readonly string[]): boolean {
--- a/packages/execution/src/registry-reader.ts
+++ b/packages/execution/src/registry-reader.ts
@@ -1,8 +1,11 @@
 import type { TargetEntry } from '@currantgap/model';
 import { applyRows, type Row } from '@currantgap/store';
-import type { OwnerContext } from './context.ts';
+import { MAXIMUM_RENEWAL_AGE_MS } from './call-timing.ts';
+import { computeMaximumLeaseMs, getWallNow, type OwnerContext } from './context.ts';
 import type { TargetRecord } from './target-record.ts';
 
+/** Milliseconds by which the wall clocks of targets and nodes may differ. */
+const WALL_CLOCK_TOLERANCE_MS = 2_000;
 /** Rows of which it is remembered that they cannot be decoded. */
 const MAXIMUM_REPORTED = 1_000;
 /** Characters of such a row that its log line repeats. */
@@ -78,12 +81,29 @@
   #register(entry: TargetEntry, isSnapshot: boolean): void {
     const { fleet, reconciliation } = this.#context;
     const isNew = fleet.find(entry.id) === undefined;
-    const target = fleet.register(entry, isSnapshot ? reconciliation.deadline : 0);
+    const leasesExpireAt = isSnapshot ? this.#computeLeaseExpiry(entry) : 0;
+    const target = fleet.register(entry, leasesExpireAt);
     if (!isNew || target === undefined) return;
-    if (isSnapshot) reconciliation.expectReport({ id: entry.id, service: entry.service });
+    if (isSnapshot) {
+      const { id, service } = entry;
+      reconciliation.expectReport({ id, service }, leasesExpireAt);
+    }
     this.#writeRegistered(target);
   }
 
+  /**
+   * Computes when the leases of earlier owners on a target have expired. On one that has started lately, an
+   * earlier owner may have granted a lease on the clock of its former incarnation, which is the longest.
+   */
+  #computeLeaseExpiry({ bornAt }: TargetEntry): number {
+    const { reconciliation, term } = this.#context;
+    const maximumLeaseMs = computeMaximumLeaseMs(this.#context);
+    const youngMs = maximumLeaseMs + MAXIMUM_RENEWAL_AGE_MS + WALL_CLOCK_TOLERANCE_MS;
+    const isYoung = getWallNow() - bornAt < youngMs;
+    if (term.predecessor === undefined || !isYoung) return reconciliation.deadline;
+    return Math.max(reconciliation.deadline, reconciliation.predecessorDeposedAt + maximumLeaseMs);
+  }
+
   #writeRegistered(target: TargetRecord): void {
     const { service, dataCentre, address } = target.entry;
     this.#context.logger.writeInfo('target registered', {
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -9,13 +9,18 @@
 } from '@currantgap/jobs';
 import { EndKind } from '@currantgap/model';
 import type { LogContext } from '@currantgap/telemetry';
-import { getMaximumAttempts, getWallNow, type OwnerContext } from './context.ts';
+import {
+  computeMaximumLeaseMs,
+  getMaximumAttempts,
+  getWallNow,
+  type OwnerContext,
+} from './context.ts';
 import { IncarnationTracker } from './incarnation-tracker.ts';
 import { parseTaskName } from './job-index.ts';
 import type { JobLookup } from './job-lookup.ts';
 import { buildAttempt, type RunOrders } from './run-orders.ts';
 import type { ActiveRun, EndedRun, TargetReport } from './ports.ts';
-import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
+import type { Assignment, TargetRecord } from './target-record.ts';
 import { LossReason, UnlistedRuns } from './unlisted-runs.ts';
 
 /** Applies target reports: active runs, ended runs and assigned runs that are in neither list. */
@@ -44,7 +49,11 @@
     target.unansweredCalls = 0;
     this.#incarnations.apply(target, report, sentAt);
     target.recordClock(report.clockMs, now);
-    if (report.running.length > 0) target.recordActiveRuns(reconciliation.leaseMs, now);
+    if (report.running.length > 0) {
+      const isFirst = target.reportedAt === undefined;
+      const leaseMs = isFirst ? reconciliation.leaseMs : computeMaximumLeaseMs(this.#context);
+      target.recordActiveRuns(leaseMs, now);
+    }
     this.#recordReconciled(target, report);
     target.reportedAt = now;
     let changeNumber = 0;
@@ -106,8 +115,8 @@
    * have reached a later incarnation, on whose clock it expires much later.
    */
   #isLeaseOver({ hasBegun, arrivesBefore }: Attempt): boolean {
-    const { bounds, clock } = this.#context;
-    return hasBegun || clock.now > arrivesBefore + bounds.leaseMaximumMs / MINIMUM_CLOCK_RATE;
+    const { clock } = this.#context;
+    return hasBegun || clock.now > arrivesBefore + computeMaximumLeaseMs(this.#context);
   }
 
   /** Gives up the tasks that have crashed too many targets, and stores the crashes of all suspects. */
--- a/packages/execution/src/report-receiver.ts
+++ b/packages/execution/src/report-receiver.ts
@@ -27,7 +27,7 @@
   /** Applies the result of a lease renewal. */
   applyRenewal(message: OwnerMessage & { kind: 'held' }): void {
     const { logger, depose } = this.#context;
-    const { target, report, sentAt, renewal, knownBornAt } = message;
+    const { target, acknowledgedThrough, report, sentAt, renewal, knownBornAt } = message;
     const isLatest = renewal === target.renewal;
     if (isLatest) target.isRenewalInFlight = false;
     if (report.isOk()) {
@@ -35,6 +35,8 @@
       if (target.isOutdated(report.value, knownBornAt)) return;
       const isFirst = target.reportedAt === undefined;
       const changeNumber = this.#reportProcessor.apply(target, report.value, sentAt);
+      if (target.bornAt === knownBornAt)
+        target.confirmedThrough = Math.max(target.confirmedThrough, acknowledgedThrough);
       this.#leaseRenewer.continueAfterReport(target, changeNumber, isFirst);
       return;
     }
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -1,9 +1,9 @@
 import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
 import { ResponseTimes } from '@currantgap/scheduling';
-import type { OwnerContext } from './context.ts';
+import { computeMaximumLeaseMs, type OwnerContext } from './context.ts';
 import { MAXIMUM_CALL_AGE_MS } from './call-timing.ts';
 import type { OwnerMessage } from './messages.ts';
-import { OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
+import { isAccepted, OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 
 /** Milliseconds before an unanswered stop is retried. */
@@ -12,6 +12,8 @@
 const REFUSAL_PAUSE_MS = 400;
 /** Milliseconds before a start that a target rejected as malformed is retried. */
 const MALFORMED_PAUSE_MS = 5_000;
+/** Milliseconds by which two readings of a target's clock may be rounded apart. */
+const CLOCK_READING_MARGIN_MS = 2;
 /** Run numbers per epoch, so that a successor's exceed those of starts that it does not know of. */
 const RUNS_PER_EPOCH = 10_000;
 
@@ -54,6 +56,7 @@
       run,
       spec: job.stored.submission.spec,
       deadline,
+      minimumClockMs: deadline - leaseMs - CLOCK_READING_MARGIN_MS,
       token: term.token,
       checkpoint: task.checkpoint,
       ticket,
@@ -113,7 +116,11 @@
     const isWithdrawn = this.#withdrawals.get(attempt)?.signal.aborted === true;
     this.unansweredStarts.delete(assignment);
     this.#withdrawals.delete(attempt);
-    if (outcome === StartOutcome.Accepted) this.startTimes.record(now - attempt.startedAt);
+    if (isAccepted(outcome)) this.startTimes.record(now - attempt.startedAt);
+    if (outcome === StartOutcome.AcceptedLater) {
+      target.isIncarnationUncertain = true;
+      target.recordForeignGrant(now, computeMaximumLeaseMs(this.#context));
+    }
     if (target.find(task.name, attempt.run) === undefined) return;
     attempt.expectedInReportsAfter = now;
     if (outcome !== StartOutcome.Unknown) attempt.arrivesBefore = now;
@@ -128,6 +135,7 @@
     });
     switch (outcome) {
       case StartOutcome.Accepted:
+      case StartOutcome.AcceptedLater:
         if (attempt.phase === AttemptPhase.Starting || isUnresolved(attempt)) {
           attempt.phase = AttemptPhase.Running;
         }
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -2,6 +2,7 @@
 import type { Attempt, TaskRun } from '@currantgap/jobs';
 import { getFootprint, ResourceSum, TargetHealth } from '@currantgap/scheduling';
 import type { TargetAddress, TargetReport } from './ports.ts';
+import { MAXIMUM_CALL_AGE_MS } from './call-timing.ts';
 import { RosterState } from './roster-state.ts';
 
 /** Lowest rate of a target's monotonic clock relative to this node's, as the protocol guarantees. */
@@ -31,6 +32,8 @@
   reportedAt: number | undefined;
   /** Highest sequence of ended runs that are stored in the ledger and so acknowledged. */
   acknowledgedThrough = 0;
+  /** Highest sequence of ended runs that the target knows to be acknowledged. */
+  confirmedThrough = 0;
   /** Highest sequence of ended runs that have been applied. */
   appliedThrough = 0;
   /** Whether the last report listed ended runs that could not be applied yet. */
@@ -78,6 +81,8 @@
   readonly #assignments = new Map<string, Assignment>();
   #clockMs = 0;
   #clockReadAt = 0;
+  /** Time from which no grant that was sent can reach the target any more. */
+  #grantsArriveBefore = -Infinity;
 
   constructor(entry: TargetEntry, leasesExpireAt: number) {
     this.#entry = entry;
@@ -170,6 +175,7 @@
       this.entry.state === TargetState.Ready &&
       !this.isCordoned &&
       this.unansweredCalls === 0 &&
+      !this.isIncarnationUncertain &&
       this.rosterState === RosterState.Listed &&
       now >= this.blockedUntil &&
       !this.health.isSuspect(now)
@@ -197,9 +203,11 @@
 
   /**
    * Computes a deadline on the target's clock, `leaseMs` from now, and extends `leasesExpireAt` to
-   * the latest time at which the target can reach it.
+   * the latest time at which the target can reach it. The target may delay its answer to the call that
+   * carries the grant by `waitMs`.
    */
-  grantLease(leaseMs: number, now: number): number {
+  grantLease(leaseMs: number, now: number, waitMs = 0): number {
+    this.#grantsArriveBefore = now + waitMs + MAXIMUM_CALL_AGE_MS;
     const elapsedMs = now - this.#clockReadAt;
     const deadline = this.#clockMs + elapsedMs * MINIMUM_CLOCK_RATE + leaseMs;
     // Latest expiry, reached if the target's clock has run at its minimum rate since the reading.
@@ -209,12 +217,26 @@
     return deadline;
   }
 
+  /**
+   * Records that another incarnation has answered. A grant on the clock of the former one, whose reading is
+   * far ahead, gives it the longest lease, `maximumLeaseMs` on this node's clock.
+   */
+  recordRestart(maximumLeaseMs: number, now: number): void {
+    this.recordForeignGrant(Math.max(this.#grantsArriveBefore, now), maximumLeaseMs);
+    this.#grantsArriveBefore = -Infinity;
+  }
+
+  /** Records that until `arrivesBefore` the target may get a grant that was not meant for its incarnation. */
+  recordForeignGrant(arrivesBefore: number, maximumLeaseMs: number): void {
+    this.leasesExpireAt = Math.max(this.leasesExpireAt, arrivesBefore + maximumLeaseMs);
+  }
+
   /**
    * Records that a report lists active runs. If all leases that this owner knows of are over, these
-   * runs hold one of an earlier owner, which lasts `earlierLeaseMs` at most.
+   * runs hold another one, which lasts `leaseMs` at most.
    */
-  recordActiveRuns(earlierLeaseMs: number, now: number): void {
-    if (this.leasesExpireAt <= now) this.leasesExpireAt = now + earlierLeaseMs;
+  recordActiveRuns(leaseMs: number, now: number): void {
+    if (this.leasesExpireAt <= now) this.leasesExpireAt = now + leaseMs;
   }
 
   /** Assigns a run and reserves its resources. */
--- a/packages/execution/test/adopted-runs.test.ts
+++ b/packages/execution/test/adopted-runs.test.ts
@@ -62,6 +62,7 @@
       kind: 'held',
       target,
       renewal,
+      acknowledgedThrough: 0,
       sentAt,
       knownBornAt,
       report: result,
--- a/packages/execution/test/later-incarnations.test.ts
+++ b/packages/execution/test/later-incarnations.test.ts
@@ -2,31 +2,46 @@
 import { describe, it } from 'node:test';
 import { AttemptPhase } from '@currantgap/jobs';
 import { EndKind } from '@currantgap/model';
-import { MAXIMUM_CALL_AGE_MS } from '../src/call-timing.ts';
+import type { LeaseRow } from '@currantgap/ownership';
+import {
+  MAXIMUM_CALL_AGE_MS,
+  MAXIMUM_POLL_MS,
+  MAXIMUM_RENEWAL_AGE_MS,
+} from '../src/call-timing.ts';
 import { JobLookup } from '../src/job-lookup.ts';
 import { OrderOutcome, StartOutcome, type TargetReport } from '../src/ports.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
 import { RunOrders } from '../src/run-orders.ts';
-import { createEnded, createReport, createRunning, TermHarness } from './term-harness.ts';
+import {
+  createEnded,
+  createReport,
+  createRunning,
+  LEASE_MS,
+  PREDECESSOR,
+  TermHarness,
+} from './term-harness.ts';
 import { LossReason } from '../src/unlisted-runs.ts';
 
 /** Longest lease of the harness on this node's clock, in milliseconds. */
 const MAXIMUM_LEASE_MS = 10_000 / 0.98;
+/** Milliseconds that pass after each report. */
+const ROUND_MS = 10;
 
 /** One task whose start was sent to a target, and the reports of the target's incarnations. */
 class Scenario {
-  readonly harness = new TermHarness();
-  readonly orders = new RunOrders(this.harness.context);
-  readonly processor = new ReportProcessor(
-    this.harness.context,
-    this.orders,
-    new JobLookup(this.harness.context, this.harness.store),
-  );
-  readonly target = this.harness.addTarget('t1');
+  readonly harness;
+  readonly orders;
+  readonly processor;
+  readonly target;
   readonly task;
   readonly attempt;
 
-  constructor(outcome: StartOutcome) {
+  constructor(outcome: StartOutcome, predecessor?: LeaseRow) {
+    this.harness = new TermHarness(predecessor === undefined ? {} : { predecessor });
+    this.orders = new RunOrders(this.harness.context);
+    const lookup = new JobLookup(this.harness.context, this.harness.store);
+    this.processor = new ReportProcessor(this.harness.context, this.orders, lookup);
+    this.target = this.harness.addTarget('t1');
     this.report();
     const job = this.harness.addJob('00000000000000a1', [{}]);
     const task = job.openOccurrence(0).steps[0]?.tasks[0];
@@ -37,13 +52,13 @@
     this.task = task;
     this.attempt = attempt;
     this.orders.applyStartOutcome(this.target, { task, attempt }, outcome);
-    this.harness.advance(10);
+    this.harness.advance(ROUND_MS);
   }
 
-  /** Applies a report that was requested just now, and lets 10 ms pass. */
+  /** Applies a report that was requested just now, and lets `ROUND_MS` pass. */
   report(changes: Partial<TargetReport> = {}): void {
     this.processor.apply(this.target, createReport(changes), this.harness.now);
-    this.harness.advance(10);
+    this.harness.advance(ROUND_MS);
   }
 
   /** Applies the answer to a stop that was sent when an incarnation was known. */
@@ -52,7 +67,7 @@
     const assignment = { task, attempt };
     const outcome = OrderOutcome.Accepted;
     this.orders.applyStopOutcome({ target, assignment, knownBornAt, outcome });
-    this.harness.advance(10);
+    this.harness.advance(ROUND_MS);
   }
 }
 
@@ -124,3 +139,44 @@
     assert.equal(task.isActive, false);
   });
 });
+
+// Found by the users, TWICE: a target was back under its id within a second and took renewals and starts
+// whose deadlines were on its former clock. When it was cut off, its runs outlasted the lease that was granted.
+describe('a target that is back under its id', () => {
+  it('is expected to hold the longest lease, since old grants may have reached it', () => {
+    const scenario = new Scenario(StartOutcome.Accepted);
+    const { harness, target } = scenario;
+    scenario.report({ bornAt: 2, clockMs: 15 });
+    const restartedAt = harness.now;
+    target.grantLease(LEASE_MS, harness.now);
+    assert.ok(target.leasesExpireAt >= restartedAt + MAXIMUM_LEASE_MS - ROUND_MS);
+  });
+
+  it('is expected to hold it from the last moment at which an old grant can arrive', () => {
+    const scenario = new Scenario(StartOutcome.Accepted);
+    const { harness, target } = scenario;
+    target.grantLease(LEASE_MS, harness.now, MAXIMUM_POLL_MS);
+    const arrivesBefore = harness.now + MAXIMUM_RENEWAL_AGE_MS;
+    scenario.report({ bornAt: 2, clockMs: 15 });
+    assert.ok(target.leasesExpireAt >= arrivesBefore + MAXIMUM_LEASE_MS);
+  });
+
+  it('is known by the clock with which it accepts a start for its former incarnation', () => {
+    const scenario = new Scenario(StartOutcome.AcceptedLater);
+    const { harness, target, attempt } = scenario;
+    assert.equal(attempt.phase, AttemptPhase.Running);
+    assert.ok(target.leasesExpireAt >= harness.now + MAXIMUM_LEASE_MS - ROUND_MS);
+    assert.equal(target.isOpen(harness.now), false, 'its clock is not known');
+  });
+
+  it('holds the same lease if only the owner before may have sent it old grants', () => {
+    const { harness, target, processor } = new Scenario(StartOutcome.Accepted, PREDECESSOR);
+    const fresh = harness.addTarget('t2');
+    processor.apply(fresh, createReport({ clockMs: 3_000 }), harness.now);
+    assert.ok(fresh.leasesExpireAt >= harness.now + MAXIMUM_LEASE_MS);
+    const old = harness.addTarget('t3');
+    processor.apply(old, createReport({ clockMs: 60_000 }), harness.now);
+    assert.ok(old.leasesExpireAt < harness.now + MAXIMUM_LEASE_MS);
+    assert.notEqual(target, old);
+  });
+});
--- a/packages/execution/test/lease-renewer.test.ts
+++ b/packages/execution/test/lease-renewer.test.ts
@@ -48,11 +48,16 @@
   assert.ok(task);
   harness.fleet.assign(target, task, buildAttempt(target, 1, AttemptPhase.Running, harness.now));
   renewer.sendDue();
-  const receive = (renewal: number, report: Result<TargetReport, LeaseRenewalFault>) => {
+  const receive = (
+    renewal: number,
+    report: Result<TargetReport, LeaseRenewalFault>,
+    acknowledgedThrough = 0,
+  ) => {
     receiver.applyRenewal({
       kind: 'held',
       target,
       renewal,
+      acknowledgedThrough,
       sentAt: harness.now,
       knownBornAt: 1,
       report,
@@ -113,6 +118,19 @@
     assert.equal(task.isActive, true);
   });
 
+  // An acknowledgement that reaches a later incarnation makes it forget ends that nobody has read.
+  it('acknowledges ended runs until it is answered, and then no more', () => {
+    const { harness, target, targetPort, task, receive, wait } = createSetup();
+    const running = [createRunning(task.name, 1)];
+    target.acknowledgedThrough = 5;
+    wait(OVERDUE_MS);
+    receive(2, ok(createReport({ clockMs: 900, running })), 5);
+    harness.advance(10);
+    receive(3, ok(createReport({ clockMs: 910, running })));
+    const acknowledged = targetPort.leaseRenewals.map((order) => order.acknowledgedThrough);
+    assert.deepEqual(acknowledged, [0, 5, 0, 0]);
+  });
+
   it('changes nothing if its answer comes from an earlier life of the target', () => {
     const { target, task, receive, wait } = createSetup();
     wait(OVERDUE_MS);
--- a/packages/execution/test/reconciliation.test.ts
+++ b/packages/execution/test/reconciliation.test.ts
@@ -23,6 +23,19 @@
 });
 
 describe('a task of an earlier term', () => {
+  // Found by the users, TWICE: a target that has started lately may hold a longer lease than was granted.
+  it('waits for a silent target as long as its leases may last', () => {
+    const reconciliation = createReconciliation([{ id: 't1', service: 'kartes' }]);
+    reconciliation.expectReport({ id: 't1', service: 'kartes' }, reconciliation.deadline + 5_000);
+    assert.equal(
+      reconciliation.canStartInherited('task', ['kartes'], reconciliation.deadline),
+      false,
+    );
+    assert.ok(
+      reconciliation.canStartInherited('task', ['kartes'], reconciliation.deadline + 5_000),
+    );
+  });
+
   it('waits until every target of its pool has reported', () => {
     const reconciliation = createReconciliation([{ id: 't1', service: 'kartes' }]);
     assert.equal(reconciliation.canStartInherited('task', ['kartes'], 0), false);
--- a/packages/execution/test/registry-reader.test.ts
+++ b/packages/execution/test/registry-reader.test.ts
@@ -3,7 +3,7 @@
 import { decodeTargetEntry } from '@currantgap/platform-adapter';
 import { setLogSink } from '@currantgap/telemetry';
 import { RegistryReader } from '../src/registry-reader.ts';
-import { TermHarness } from './term-harness.ts';
+import { LEASE_MS, PREDECESSOR, TermHarness } from './term-harness.ts';
 
 const VALUE = JSON.stringify({
   service: 'kartes',
@@ -27,6 +27,24 @@
     });
   });
 
+  // Found by the users, TWICE: a target that has started lately may hold the longest lease.
+  it('awaits a target that has started lately for the longest lease, and others for that of the predecessor', () => {
+    for (const [ageMs, leaseMs] of [
+      [2_000, 10_000 / 0.98],
+      [60_000, LEASE_MS],
+    ] as const) {
+      const { context } = new TermHarness({ predecessor: PREDECESSOR });
+      const reader = new RegistryReader(context, { table: 'servers', decode: decodeTargetEntry });
+      const value = JSON.stringify({ ...JSON.parse(VALUE), born: Date.now() - ageMs });
+      reader.apply([createRow('t1', value)], true);
+      const { reconciliation } = context;
+      const expectedAt = reconciliation.predecessorDeposedAt + leaseMs;
+      assert.equal(reconciliation.listPending(expectedAt - 1).length, 1);
+      assert.equal(reconciliation.listPending(expectedAt).length, 0);
+      assert.equal(context.fleet.find('t1')?.leasesExpireAt, expectedAt);
+    }
+  });
+
   // Guards against an owner that stops following the registry at a row of another writer.
   it('goes on past rows that it cannot decode, with a line for each', () => {
     const { context } = new TermHarness();
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -55,6 +55,22 @@
 export const CORE = 1_000;
 export const LEASE_MS = 4_000;
 
+/** Lease row of an owner before the one of a harness. */
+export const PREDECESSOR: LeaseRow = {
+  node: 'node',
+  incarnation: '1',
+  address: 'node:1',
+  epoch: 1,
+  isReleased: false,
+  isSettled: true,
+  unsettledTerms: 0,
+  successors: [],
+  slackMs: 0,
+  expiresAt: undefined,
+  targetLeaseMs: LEASE_MS,
+  logsVmOrders: true,
+};
+
 export const STEP: Step = {
   ...STEP_DEFAULTS,
   count: 1,
--- a/packages/forwarding/test/harness.ts
+++ b/packages/forwarding/test/harness.ts
@@ -41,7 +41,16 @@
 }
 
 export function createStart(task: string, spec = 'spec'): StartOrder {
-  return { task, run: 1, spec, deadline: 4_000, token: 7, checkpoint: '', ticket: undefined };
+  return {
+    task,
+    run: 1,
+    spec,
+    deadline: 4_000,
+    minimumClockMs: 0,
+    token: 7,
+    checkpoint: '',
+    ticket: undefined,
+  };
 }
 
 /** Records calls and answers them, unless it is silent. */
