fix(execution,platform): a start that a later incarnation rejects extends its leases as well

An answer by a clock that is behind now counts as that of another incarnation, whatever it says but for a higher fence; the owner then assumes the longest lease and gives the target no work before its next report.

Names: the forwarder connection's timeout for results has one of its own.

--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -88,9 +88,9 @@
   }
 
   /**
-   * Gives up the call of a start that was not answered, so that it reaches no later incarnation, and sends a
-   * stop, so that the target refuses the start if it arrives late. The attempt is not marked as stopping: a run that has begun counts as running
-   * once the target reports it.
+   * Gives up the call of a start that was not answered, so that it reaches no later incarnation, and
+   * sends a stop, so that the target refuses the start if it arrives late. The attempt is not marked as
+   * stopping: a run that has begun counts as running once the target reports it.
    */
   resolveUncertain(assignment: Assignment): void {
     const target = this.#context.fleet.find(assignment.attempt.targetId);
@@ -153,6 +153,7 @@
         return;
       case StartOutcome.OtherIncarnation:
         target.isIncarnationUncertain = true;
+        target.recordForeignGrant(now, computeMaximumLeaseMs(this.#context));
         target.blockedUntil = now + REFUSAL_PAUSE_MS;
         break;
       case StartOutcome.Malformed:
--- a/packages/forwarding/src/forwarder-connection.ts
+++ b/packages/forwarding/src/forwarder-connection.ts
@@ -23,7 +23,7 @@
 /** Milliseconds without a line after which a forwarder counts as failed: a few heartbeats. */
 const SILENCE_MS = 800;
 /** Milliseconds after which a call is given up although its forwarder is alive. */
-const CALL_TIMEOUT_MS = 4_000;
+const RESULT_TIMEOUT_MS = 4_000;
 
 /** Options of a connection. */
 export interface ForwarderConnectionOptions {
@@ -158,7 +158,7 @@
     const call = this.#lastCall;
     this.#channel.send({ call, kind, target: { id: target.id, address: target.address }, order });
     return new Promise((resolve) => {
-      this.#pending.set(call, { deadline: performance.now() + CALL_TIMEOUT_MS, resolve });
+      this.#pending.set(call, { deadline: performance.now() + RESULT_TIMEOUT_MS, resolve });
     });
   }
 
