fix(forwarding,execution): the owner knows the latest arrival of all grants that it has sent

The latest time counts, and a repeated renewal only asks for a report: the next renewal grants again as soon as that is there. So no grant arrives after the time up to which the owner takes one into account.

Before: the two tests fail (a start after a renewal that may wait; a forwarder that is lost at once).

--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -207,7 +207,8 @@
    * carries the grant by `waitMs`.
    */
   grantLease(leaseMs: number, now: number, waitMs = 0): number {
-    this.#grantsArriveBefore = now + waitMs + MAXIMUM_CALL_AGE_MS;
+    const arrivesBefore = now + waitMs + MAXIMUM_CALL_AGE_MS;
+    this.#grantsArriveBefore = Math.max(this.#grantsArriveBefore, arrivesBefore);
     const elapsedMs = now - this.#clockReadAt;
     const deadline = this.#clockMs + elapsedMs * MINIMUM_CLOCK_RATE + leaseMs;
     // Latest expiry, reached if the target's clock has run at its minimum rate since the reading.
--- a/packages/execution/test/later-incarnations.test.ts
+++ b/packages/execution/test/later-incarnations.test.ts
@@ -156,6 +156,7 @@
     const scenario = new Scenario(StartOutcome.Accepted);
     const { harness, target } = scenario;
     target.grantLease(LEASE_MS, harness.now, MAXIMUM_POLL_MS);
+    target.grantLease(LEASE_MS, harness.now);
     const arrivesBefore = harness.now + MAXIMUM_RENEWAL_AGE_MS;
     scenario.report({ bornAt: 2, clockMs: 15 });
     assert.ok(target.leasesExpireAt >= arrivesBefore + MAXIMUM_LEASE_MS);
--- a/packages/execution/test/take-over-harness.ts
+++ b/packages/execution/test/take-over-harness.ts
@@ -1,6 +1,6 @@
 import { encodeStoredJob, STEP_DEFAULTS } from '@currantgap/jobs';
 import type { Configuration, EndKind, Route, Step, TargetEntry } from '@currantgap/model';
-import { FENCE_ROW, type LeaseRow } from '@currantgap/ownership';
+import { FENCE_ROW } from '@currantgap/ownership';
 import { MemoryStore, waitUntil } from '@currantgap/standins';
 import { PageSizer } from '@currantgap/store';
 import { VirtualClock } from '@currantgap/tasks';
@@ -23,7 +23,13 @@
   type TargetAddress,
   type TargetReport,
 } from '../src/ports.ts';
-import { createConfiguration, createStoredJob, createTarget, ROUTE } from './term-harness.ts';
+import {
+  createConfiguration,
+  createStoredJob,
+  createTarget,
+  PREDECESSOR,
+  ROUTE,
+} from './term-harness.ts';
 
 const REGISTRY_TABLE = 'servers';
 /** Milliseconds after which a target answers a renewal. */
@@ -169,19 +175,11 @@
   }
 
   #createOwner(epoch: number, version: number): Owner {
-    const lease: LeaseRow = {
-      node: 'node',
+    const lease = {
+      ...PREDECESSOR,
       incarnation: String(epoch),
-      address: 'node:1',
       epoch: epoch - 1,
-      isReleased: false,
-      isSettled: true,
-      unsettledTerms: 0,
-      successors: [],
-      slackMs: 0,
-      expiresAt: undefined,
       targetLeaseMs: TARGET_LEASE_MS,
-      logsVmOrders: true,
     };
     const predecessor = epoch > 1 ? lease : undefined;
     return new Owner({
--- a/packages/forwarding/src/forwarder-pool.ts
+++ b/packages/forwarding/src/forwarder-pool.ts
@@ -154,17 +154,15 @@
     target: TargetAddress,
     order: LeaseRenewalOrder,
   ): Promise<Result<TargetReport, LeaseRenewalFault>> {
-    const startedAt = this.#options.clock.now;
     const connection = this.#find(target);
     if (connection === undefined) return this.#renewLocally(target, order);
     const result = await connection.renewLeases(target, order);
     if (result !== undefined || !connection.isClosed) return decodeRenewal(result ?? { call: 0 });
-    // The forwarder is lost: another one asks, but after so long for a report alone.
-    const isValid = this.#options.clock.now - startedAt < CALL_VALIDITY_MS;
-    const repeated = isValid ? order : { ...order, acknowledgedThrough: 0, deadline: undefined };
+    // Sent again, a grant or an acknowledgement would arrive later than the owner expects.
+    const request = { ...order, acknowledgedThrough: 0, deadline: undefined };
     const other = this.#find(target);
-    if (other === undefined) return this.#renewLocally(target, repeated);
-    return decodeRenewal((await other.renewLeases(target, repeated)) ?? { call: 0 });
+    if (other === undefined) return this.#renewLocally(target, request);
+    return decodeRenewal((await other.renewLeases(target, request)) ?? { call: 0 });
   }
 
   async #renewLocally(
--- a/packages/forwarding/test/forwarding.test.ts
+++ b/packages/forwarding/test/forwarding.test.ts
@@ -2,13 +2,7 @@
 import { once } from 'node:events';
 import { request } from 'node:http';
 import { describe, it } from 'node:test';
-import { setTimeout as sleep } from 'node:timers/promises';
-import {
-  CALL_VALIDITY_MS,
-  LeaseRenewalFault,
-  OrderOutcome,
-  StartOutcome,
-} from '@currantgap/execution';
+import { LeaseRenewalFault, OrderOutcome, StartOutcome } from '@currantgap/execution';
 import { waitUntil } from '@currantgap/standins';
 import { BootClock } from '@currantgap/tasks';
 import { encodeHandshake } from '../src/handshake.ts';
@@ -171,13 +165,13 @@
     });
   });
 
-  it('sends nothing that belongs to one incarnation again after the time of the call', async () => {
+  it('only asks for a report when the forwarder of a renewal is lost', async () => {
     await useHarness(async (harness) => {
       const port = harness.addForwarder('n1');
       await waitForForwarding(harness, [port]);
       port.isSilent = true;
       const renewal = harness.pool.renewLeases(createTarget('t1'), RENEWAL);
-      await sleep(CALL_VALIDITY_MS);
+      await waitUntil(() => port.renewals.some(({ target }) => target === 't1'));
       harness.stopForwarder('n1');
       assert.ok((await renewal).isOk());
       const { deadline, acknowledgedThrough } = harness.local.renewals.at(-1) ?? RENEWAL;
