--- a/packages/execution/src/crash-detector.ts
+++ b/packages/execution/src/crash-detector.ts
@@ -28,8 +28,8 @@
 
 /**
  * Tells crashed targets from silent ones. A target has crashed if another incarnation answers for it
- * or registers on its VM, although its end was not announced, by draining or by an order for the VM. A target that is only cut
- * off answers again or stays silent, which says nothing about the tasks that it ran.
+ * or registers on its VM, and its end was announced neither by draining nor by an order for the VM. A
+ * target that is only cut off answers again or stays silent, which says nothing about its tasks.
  */
 export class CrashDetector {
   readonly #options: CrashDetectorOptions;
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -1,7 +1,7 @@
 import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
 import { ResponseTimes } from '@currantgap/scheduling';
-import { computeMaximumLeaseMs, type OwnerContext } from './context.ts';
 import { MAXIMUM_CALL_AGE_MS } from './call-timing.ts';
+import { computeMaximumLeaseMs, type OwnerContext } from './context.ts';
 import type { OwnerMessage } from './messages.ts';
 import { isAccepted, OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -22,8 +22,8 @@
   /** Whether the registry has an entry for the target. */
   isRegistered = true;
   /**
-   * Time from which the incarnation in the registry is presumed to have ended, although its entry is still there;
-   * undefined if it is not.
+   * Time from which the incarnation in the registry is presumed to have ended, although its entry is
+   * still there; undefined if it is not.
    */
   endPresumedAt: number | undefined;
   /** Start of the incarnation that sent the last report, Unix milliseconds. */
--- a/packages/execution/src/unlisted-runs.ts
+++ b/packages/execution/src/unlisted-runs.ts
@@ -94,7 +94,10 @@
   }
 }
 
-/** Whether a run that the report of `sentAt` does not list can begin neither on its target nor on a later incarnation. */
+/**
+ * Whether a run that the report of `sentAt` does not list can begin neither on the incarnation that reports
+ * nor on a later one.
+ */
 function isStartPrevented(target: TargetRecord, attempt: Attempt, sentAt: number): boolean {
   if (!attempt.hasBegun && sentAt < attempt.arrivesBefore) return false;
   const { stopAnsweredAt, expiresAt } = attempt;
--- a/packages/execution/src/vm-order-log.ts
+++ b/packages/execution/src/vm-order-log.ts
@@ -8,7 +8,10 @@
 const ROW_KEY = 'recent';
 /** Milliseconds beyond the protocol's minimum time between orders of two lease holders. */
 const HOLDER_CHANGE_MARGIN_MS = 250;
-/** Milliseconds in which an order of an earlier owner may show its effect: its call, leases and a registration. */
+/**
+ * Milliseconds in which an order of an earlier owner may show its effect: the call, the end of the leases
+ * and the registration of the next target.
+ */
 const ORDER_EFFECT_MS = 10_000;
 /** Milliseconds after an entry was sent to the store in which its order may be sent. */
 const ENTRY_VALIDITY_MS = 700;
--- a/packages/execution/test/announced-ends.test.ts
+++ b/packages/execution/test/announced-ends.test.ts
@@ -5,8 +5,8 @@
 import { StartOutcome } from '../src/ports.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
 import { RunOrders } from '../src/run-orders.ts';
-import { createReport, createRunning, createTarget, TermHarness } from './term-harness.ts';
 import { LossReason } from '../src/unlisted-runs.ts';
+import { createReport, createRunning, createTarget, TermHarness } from './term-harness.ts';
 
 /** Restarts of targets after which a job whose tasks had crashed them would fail. */
 const RESTARTS = 4;
--- a/packages/execution/test/later-incarnations.test.ts
+++ b/packages/execution/test/later-incarnations.test.ts
@@ -12,6 +12,7 @@
 import { OrderOutcome, StartOutcome, type TargetReport } from '../src/ports.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
 import { RunOrders } from '../src/run-orders.ts';
+import { LossReason } from '../src/unlisted-runs.ts';
 import {
   createEnded,
   createReport,
@@ -20,7 +21,6 @@
   PREDECESSOR,
   TermHarness,
 } from './term-harness.ts';
-import { LossReason } from '../src/unlisted-runs.ts';
 
 /** Longest lease of the harness on this node's clock, in milliseconds. */
 const MAXIMUM_LEASE_MS = 10_000 / 0.98;
