test(standins,soak): an end whose lease lapsed before its acknowledgement does not count

RULES.md allows this: an end is taken note of when it is acknowledged, unless the executor's lease lapsed between the two; that stands for good.

The stand-in marks such ends, and the check excuses them; two runs at the same time are reported as before, which a new test shows beside the excuse.

--- a/packages/soak/test/invariants.test.ts
+++ b/packages/soak/test/invariants.test.ts
@@ -25,6 +25,7 @@
       endedAt: 100,
       endKind: 'done',
       isAcknowledged: true,
+      isVoid: false,
       ...changes,
     });
   }
@@ -38,6 +39,15 @@
     assert.deepEqual(findViolations([SUBMISSION], createRunHistory({}, SECOND_STEP)), []);
   });
 
+  // The protocol: an acknowledgement does not count if the target's lease lapsed between it and the end.
+  it('excuses a run after an end whose lease lapsed, but no run beside another', () => {
+    const isVoid = true;
+    const later = createRunHistory({ isVoid }, { startedAt: 150, endedAt: 200 });
+    const beside = createRunHistory({ isVoid }, { startedAt: 50 });
+    assert.deepEqual(later.findDuplicateTasks(), []);
+    assert.equal(beside.findDuplicateTasks().length, 1);
+  });
+
   it('reports each way in which a submission can violate an invariant', () => {
     const cases: [Partial<SubmissionRecord>, RunHistory, RegExp][] = [
       [{}, createRunHistory({}), /completed with 1 of 2/],
