feat(execution): the lines of a restart say what the owner assumes of calls of the past

`longest lease assumed` now has the age of the last grant, `target restarted` the clock of the incarnation that answers. No logic is changed.

--- a/packages/execution/src/incarnation-tracker.ts
+++ b/packages/execution/src/incarnation-tracker.ts
@@ -36,6 +36,7 @@
       target: target.id,
       bornAt: report.bornAt ?? 0,
       knownBornAt: target.bornAt ?? 0,
+      clockMs: report.clockMs,
     });
     this.#endRuns(target, report, sentAt);
     target.recordRestart(computeMaximumLeaseMs(this.#context), this.#context.clock.now);
@@ -84,10 +85,14 @@
 
   #writeLongestLease(target: TargetRecord, reason: string): void {
     const { clock, logger } = this.#context;
+    const { id, leaseGrantedAt, leasesExpireAt } = target;
     logger.writeInfo('longest lease assumed', {
-      target: target.id,
+      target: id,
       reason,
-      leaseEndsInMs: Math.round(target.leasesExpireAt - clock.now),
+      leaseEndsInMs: Math.round(leasesExpireAt - clock.now),
+      ...(leaseGrantedAt === undefined
+        ? {}
+        : { grantAgeMs: Math.round(clock.now - leaseGrantedAt) }),
     });
   }
 
