test(standins,features): a target that carries out calls of its former life, whose tasks run twice

No stand-in carried out calls of a former life. A stand-in target now crashes without a sign, reads calls while it is down, comes back empty under its id and address, and carries these calls out later, unanswered, also while it is cut off.

A target that is cut off no longer answers polls that it had read before.

One example carries the calls out 4 s after the return and cuts the target off 100 ms later, the other does so 2 and 3 s after it while the target is cut off from the return on.

--- a/packages/features/platform.feature
+++ b/packages/features/platform.feature
@@ -123,3 +123,18 @@
     When 50 submissions a second are sent for 10 s while the store drops its history each 3000 ms
     Then no count was below half of the submissions that had been accepted 5 s before
     And more than half of the counts were given
+
+  # Guards against tasks that run twice because a target holds a longer lease than the owner knows: it crashed, is back
+  # under its id and carries out calls that it was sent before its return (issue 50).
+  @known-red
+  Scenario Outline: A target carries out calls of its former incarnation and is cut off
+    Given a deployment with 2 nodes and 2 targets
+    And the targets have been up for 16 s
+    When the first target crashes for 600 ms while tasks of 20000 ms are submitted, and carries out the calls of that time after "<delays>" ms
+    And the first target is cut off from the nodes <cut> ms after its return
+    Then no task has run twice after 15 s
+
+    Examples:
+      | delays        | cut  |
+      | 4000          | 4100 |
+      | 2000 and 3000 | 0    |
--- a/packages/standins/src/platform/deployment.ts
+++ b/packages/standins/src/platform/deployment.ts
@@ -7,7 +7,8 @@
 import { NodeProcess } from './node-process.ts';
 import { RunHistory } from './run-history.ts';
 import { StoreServer } from './store-server.ts';
-import { StandinTarget, type StandinTaskSpec } from './standin-target.ts';
+import { StandinTarget } from './standin-target.ts';
+import type { StandinTaskSpec } from './target-incarnation.ts';
 
 /** Options of a deployment of stand-ins and nodes under test. */
 export interface StandinDeploymentOptions {
--- a/packages/standins/src/platform/standin-target.ts
+++ b/packages/standins/src/platform/standin-target.ts
@@ -2,12 +2,13 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { readText, sendJson, StandinServer } from '../http-server.ts';
 import type { MemoryStore } from '../memory-store.ts';
-import type { RunHistory, RunRecord } from './run-history.ts';
+import type { RunHistory } from './run-history.ts';
+import { TARGET_CPU_MILLIS, TargetIncarnation, type TargetCall } from './target-incarnation.ts';
 
 /** Failures that the stand-in target simulates. */
 export enum StandinTargetFailure {
   None = 'none',
-  /** Reads calls without answering or applying them; active runs continue. */
+  /** Cut off from the nodes: calls are neither answered nor applied; active runs continue. */
   Silent = 'silent',
   /** Applies starts and stops but loses their responses. */
   ResponseLost = 'answer-lost',
@@ -17,39 +18,25 @@
   Failing = 'failing',
 }
 
-/** Task specification in the submissions to stand-in targets. */
-export interface StandinTaskSpec {
-  /** CPU demand in thousandths of a core. */
-  readonly cpu: number;
-  /** Run time in milliseconds. */
-  readonly ms: number;
+/** A crash without a sign and the return under the same id and address. */
+export interface TargetCrash {
+  /** Milliseconds until the next incarnation begins. */
+  readonly downMs: number;
+  /**
+   * Milliseconds from that moment until the calls that came before it are carried out; the calls take
+   * the delays in turn.
+   */
+  readonly callDelaysMs: readonly number[];
 }
 
-interface ActiveRun {
-  readonly record: RunRecord;
-  readonly taskSpec: StandinTaskSpec;
-  readonly timer: NodeJS.Timeout;
-}
-
-interface EndedRun {
-  readonly sequence: number;
-  readonly record: RunRecord;
-}
-
-type WireBody = Readonly<Record<string, string | number | undefined>>;
-
-/** Ended runs that one answer lists at most. */
-const LISTED_ENDS = 500;
-const POLL_MS = 10;
+const EXPIRY_CHECK_INTERVAL_MS = 10;
 const REGISTRATION_RETRY_MS = 500;
 const LATE_START_DELAY_MS = 1_500;
-const FAILED_RUN_MS = 20;
-const CPU_MILLIS = 8_000;
 const MEMORY_MB = 65_536;
 
 /**
  * Stand-in of a platform target. It runs tasks under a lease and refuses calls with a fencing token
- * lower than the highest one that it has seen.
+ * lower than the highest one that the incarnation has seen.
  */
 export class StandinTarget extends StandinServer {
   readonly id: string;
@@ -57,14 +44,10 @@
   readonly #service: string;
   readonly #store: MemoryStore;
   readonly #runHistory: RunHistory;
-  readonly #bornAt = Date.now();
-  readonly #clockStart = performance.now();
-  readonly #activeRuns = new Map<string, ActiveRun>();
-  readonly #highestRuns = new Map<string, number>();
-  #unacknowledgedEnds: EndedRun[] = [];
-  #sequence = 0;
-  #highestToken = 0;
-  #leaseExpiresAt = Infinity;
+  /** Undefined while the target is down. */
+  #incarnation: TargetIncarnation | undefined;
+  #callsWhileDown: TargetCall[] = [];
+  #isClosed = false;
   readonly #timers: NodeJS.Timeout[] = [];
 
   constructor(id: string, service: string, store: MemoryStore, runHistory: RunHistory) {
@@ -78,161 +61,93 @@
   /** Starts listening, writes the registration row and starts to watch the lease. */
   async open(): Promise<void> {
     await this.listen();
-    void this.#register();
+    this.#beginIncarnation();
     this.#timers.push(
       setInterval(() => {
-        if (this.#clockMs > this.#leaseExpiresAt) this.#expireLease();
-      }, POLL_MS),
+        this.#incarnation?.expireLease();
+      }, EXPIRY_CHECK_INTERVAL_MS),
     );
   }
 
   override close(): void {
-    for (const timer of this.#timers) clearInterval(timer);
-    this.#endAll('lapsed');
+    this.#isClosed = true;
+    for (const timer of this.#timers) clearTimeout(timer);
+    this.#incarnation?.terminate('lapsed');
     super.close();
   }
 
-  get #clockMs(): number {
-    return Math.round(performance.now() - this.#clockStart);
+  /**
+   * Loses all runs and all state, reads calls without an answer, and begins the next incarnation, which
+   * carries out these calls later without an answer. Has no effect while the target is down.
+   *
+   * @returns at the return, the number of calls that came before it
+   */
+  async crash({ downMs, callDelaysMs }: TargetCrash): Promise<number> {
+    if (this.#incarnation === undefined) return 0;
+    this.#incarnation.terminate('crashed');
+    this.#incarnation = undefined;
+    this.#callsWhileDown = [];
+    await sleep(downMs, undefined, { ref: false });
+    if (this.#isClosed) return 0;
+    const calls = this.#callsWhileDown;
+    for (const [index, call] of calls.entries())
+      this.#applyLater(call, callDelaysMs[index % callDelaysMs.length] ?? 0);
+    this.#beginIncarnation();
+    return calls.length;
   }
 
   protected async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = JSON.parse(await readText(request)) as WireBody;
+    const body = JSON.parse(await readText(request)) as TargetCall['body'];
+    const call = { path: request.url ?? '', body };
     if (this.failure === StandinTargetFailure.Silent) return;
-    if (request.headers['x-target-instance'] !== this.id) {
-      sendJson(response, 421, {});
+    const incarnation = this.#incarnation;
+    const isIntended = request.headers['x-target-instance'] === this.id;
+    if (incarnation === undefined) {
+      if (isIntended) this.#callsWhileDown.push(call);
       return;
     }
-    const path = request.url ?? '';
-    if (path === '/api/run-start' && this.failure === StandinTargetFailure.Late) {
-      setTimeout(() => {
-        this.#start(body);
-      }, LATE_START_DELAY_MS);
+    if (!isIntended) {
+      sendJson(response, 421, {});
       return;
     }
-    const token = Number(body.fencing_token ?? 0);
-    if (token < this.#highestToken) {
-      sendJson(response, 409, { clock_ms: this.#clockMs, reason: 'fence' });
+    if (call.path === '/api/run-start' && this.failure === StandinTargetFailure.Late) {
+      this.#applyLater(call, LATE_START_DELAY_MS);
       return;
     }
-    this.#highestToken = token;
-    if (path === '/api/run-start') this.#sendResponse(response, this.#start(body));
-    else if (path === '/api/run-stop') this.#sendResponse(response, this.#stop(body));
-    else if (path === '/api/hold') await this.#handleHold(body, response);
-    else this.#sendResponse(response, undefined);
-  }
-
-  #sendResponse(response: ServerResponse, reason: string | undefined): void {
-    if (this.failure === StandinTargetFailure.ResponseLost) response.destroy();
-    else if (reason === undefined) sendJson(response, 200, { clock_ms: this.#clockMs });
-    else sendJson(response, 409, { clock_ms: this.#clockMs, reason });
-  }
-
-  /** Starts a run; returns the reason if it is refused. */
-  #start(body: WireBody): string | undefined {
-    const task = String(body.task);
-    const run = Number(body.run);
-    const deadline = Number(body.deadline_ms);
-    if (Number(body.fencing_token ?? 0) < this.#highestToken) return 'fence';
-    if (this.#activeRuns.get(task)?.record.run === run) return undefined;
-    if (deadline < this.#clockMs) return 'late';
-    if (run <= (this.#highestRuns.get(task) ?? 0) || this.#activeRuns.has(task)) return 'old';
-    const taskSpec = JSON.parse(String(body.spec)) as StandinTaskSpec;
-    const used = [...this.#activeRuns.values()].reduce(
-      (sum, { taskSpec: { cpu } }) => sum + cpu,
-      0,
-    );
-    if (used + taskSpec.cpu > CPU_MILLIS) return 'room';
-    this.#renewLease(deadline);
-    const isFailing = this.failure === StandinTargetFailure.Failing;
-    const record: RunRecord = {
-      task,
-      run,
-      target: this.id,
-      startedAt: performance.now(),
-      endedAt: undefined,
-      endKind: undefined,
-      isAcknowledged: false,
-      isVoid: false,
-    };
-    this.#runHistory.runs.push(record);
-    const timer = setTimeout(
-      () => {
-        this.#end(task, isFailing ? 'failed' : 'done');
-      },
-      isFailing ? FAILED_RUN_MS : taskSpec.ms,
-    );
-    this.#activeRuns.set(task, { record, taskSpec, timer });
-    return undefined;
-  }
-
-  #stop(body: WireBody): string | undefined {
-    const task = String(body.task);
-    const run = Number(body.run);
-    this.#highestRuns.set(task, Math.max(run, this.#highestRuns.get(task) ?? 0));
-    if (this.#activeRuns.get(task)?.record.run === run) this.#end(task, 'stopped');
-    return undefined;
-  }
-
-  async #handleHold(body: WireBody, response: ServerResponse): Promise<void> {
-    const acknowledgedThrough = Number(body.acked_through ?? 0);
-    for (const { sequence, record } of this.#unacknowledgedEnds)
-      if (sequence <= acknowledgedThrough) record.isAcknowledged = true;
-    this.#unacknowledgedEnds = this.#unacknowledgedEnds.filter(
-      ({ sequence }) => sequence > acknowledgedThrough,
-    );
-    if (body.deadline_ms !== undefined) this.#renewLease(Number(body.deadline_ms));
-    const waitEndsAt = performance.now() + Number(body.wait_ms ?? 0);
-    while (this.#unacknowledgedEnds.length === 0 && performance.now() < waitEndsAt) {
-      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-    }
-    const running = [...this.#activeRuns.values()].map(({ record: { task, run } }) => [
-      task,
-      run,
-      '',
-      100,
-      0,
-    ]);
-    const listed = this.#unacknowledgedEnds.slice(0, LISTED_ENDS);
-    const finished = listed.map(({ sequence, record: { task, run, endKind } }) => [
-      sequence,
-      task,
-      run,
-      endKind,
-      '',
-    ]);
-    sendJson(response, 200, { clock_ms: this.#clockMs, born: this.#bornAt, running, finished });
+    const reason = this.#apply(incarnation, call);
+    if (call.path === '/api/hold' && reason === undefined) {
+      await incarnation.waitForEnd(Number(body.wait_ms ?? 0));
+      if (this.#isReachable(incarnation)) sendJson(response, 200, incarnation.report());
+    } else if (this.failure === StandinTargetFailure.ResponseLost) response.destroy();
+    else if (reason === undefined) sendJson(response, 200, { clock_ms: incarnation.clockMs });
+    else sendJson(response, 409, { clock_ms: incarnation.clockMs, reason });
   }
 
-  #renewLease(deadline: number): void {
-    this.#leaseExpiresAt =
-      this.#leaseExpiresAt === Infinity ? deadline : Math.max(this.#leaseExpiresAt, deadline);
+  #isReachable(incarnation: TargetIncarnation): boolean {
+    return this.#incarnation === incarnation && this.failure !== StandinTargetFailure.Silent;
   }
 
-  #end(task: string, endKind: string): void {
-    const running = this.#activeRuns.get(task);
-    if (running === undefined) return;
-    clearTimeout(running.timer);
-    this.#activeRuns.delete(task);
-    const { record } = running;
-    record.endedAt = performance.now();
-    record.endKind = endKind;
-    this.#highestRuns.set(task, Math.max(record.run, this.#highestRuns.get(task) ?? 0));
-    this.#sequence += 1;
-    this.#unacknowledgedEnds.push({ sequence: this.#sequence, record });
+  #apply(incarnation: TargetIncarnation, call: TargetCall): string | undefined {
+    incarnation.isFailing = this.failure === StandinTargetFailure.Failing;
+    return incarnation.apply(call);
   }
 
-  #expireLease(): void {
-    for (const { record } of this.#unacknowledgedEnds) record.isVoid = true;
-    this.#endAll('lapsed');
+  /** Applies a call, without an answer, to the incarnation that there is after a delay. */
+  #applyLater(call: TargetCall, delayMs: number): void {
+    const timer = setTimeout(() => {
+      if (this.#incarnation !== undefined) this.#apply(this.#incarnation, call);
+    }, delayMs);
+    this.#timers.push(timer);
   }
 
-  #endAll(endKind: string): void {
-    for (const task of [...this.#activeRuns.keys()]) this.#end(task, endKind);
+  #beginIncarnation(): void {
+    const incarnation = new TargetIncarnation(this.id, this.#runHistory);
+    this.#incarnation = incarnation;
+    void this.#register(incarnation);
   }
 
   /** Writes the registration row. Heartbeats would only wake the change feed consumers. */
-  async #register(): Promise<void> {
+  async #register(incarnation: TargetIncarnation): Promise<void> {
     const registration = {
       service: this.#service,
       address: this.address,
@@ -241,14 +156,14 @@
       slots: 8,
       state: 'ready',
       cold_remaining_ms: 0,
-      capacity: { cpu: CPU_MILLIS, mem_mb: MEMORY_MB, gpu: 0 },
+      capacity: { cpu: TARGET_CPU_MILLIS, mem_mb: MEMORY_MB, gpu: 0 },
       labels: ['a', 'r1'],
       sequence: 1,
-      born: this.#bornAt,
+      born: incarnation.bornAt,
     };
     const put = { table: 'servers', part: '', key: this.id, value: JSON.stringify(registration) };
     const transaction = { conditions: [], puts: [put], removals: [] };
-    while ((await this.#store.commit(transaction)).isErr())
+    while (this.#incarnation === incarnation && (await this.#store.commit(transaction)).isErr())
       await sleep(REGISTRATION_RETRY_MS, undefined, { ref: false });
   }
 }
