fix(execution): a task whose start its target did not answer before a restart starts on that target only

Cause: what a closed fence prevents holds for one incarnation.

A start that was not answered by an incarnation that goes on binds nothing: that target may answer no start for long, and a task would wait for it.

Evidence: the test of a task that stays on the target fails with the binding turned round, and passes with it.

--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -13,6 +13,7 @@
 import type { JobRecord } from './job-index.ts';
 import { computeJobTiming } from './job-timing.ts';
 import { buildPlacementRequest, buildStepRequest } from './placement-requests.ts';
+import { LateStarts } from './late-starts.ts';
 import { PoolShares } from './pool-shares.ts';
 import type { Quarantine } from './quarantine.ts';
 import { Reservations } from './reservations.ts';
@@ -47,6 +48,7 @@
   readonly #reservations: Reservations;
   readonly #caps: TeamCaps;
   readonly #copier: RunCopier;
+  readonly #lateStarts: LateStarts;
 
   constructor(
     context: OwnerContext,
@@ -62,6 +64,7 @@
     this.#shares = new PoolShares(context);
     this.#reservations = new Reservations(context);
     this.#caps = new TeamCaps(context);
+    this.#lateStarts = new LateStarts(context);
     this.#copier = new RunCopier({
       context,
       orders,
@@ -189,7 +192,7 @@
         request ??= buildStepRequest(this.#context, step);
         target = this.#chooseTarget({ ...request, failedOn: task.failedOn }, task, open);
       }
-      if (target === undefined && task.isSuspect) continue;
+      if (target === undefined && (task.isSuspect || this.#lateStarts.isBound(task))) continue;
       if (target === undefined) {
         if (this.#shares.isShort(service))
           this.#reservations.recordBlocked(service, candidate, advised);
@@ -210,19 +213,21 @@
     task: TaskRun,
     open: readonly TargetRecord[],
   ): TargetRecord | undefined {
-    if (!task.isSuspect) return chooseTarget(request, this.#quarantine.listOrdinary(open));
-    for (const group of this.#quarantine.listForSuspect(open)) {
+    const allowed = this.#lateStarts.listAllowed(task, open);
+    if (!task.isSuspect) return chooseTarget(request, this.#quarantine.listOrdinary(allowed));
+    for (const group of this.#quarantine.listForSuspect(allowed)) {
       const target = chooseTarget(request, group);
       if (target !== undefined) return target;
     }
-    this.#quarantine.holdTarget(open);
+    this.#quarantine.holdTarget(allowed);
     return undefined;
   }
 
   /** Starts all tasks of a gang, or none if one of them has no target. */
   #placeGang(step: StepRun, open: readonly TargetRecord[]): PlacementResult {
-    if (step.tasks.some((task) => task.isActive || !task.isWaiting(this.#context.clock.now)))
-      return BLOCKED;
+    const { now } = this.#context.clock;
+    if (step.tasks.some((task) => task.isActive || !task.isWaiting(now))) return BLOCKED;
+    if (step.tasks.some((task) => this.#lateStarts.isBound(task))) return BLOCKED;
     const { request, count } = step.definition;
     if (!this.#caps.isWithin(step, computeProduct(request, count))) return BLOCKED;
     const racks = new Map<string, TargetRecord[]>();
--- a/packages/execution/src/unlisted-runs.ts
+++ b/packages/execution/src/unlisted-runs.ts
@@ -90,11 +90,18 @@
       return;
     }
     if (isStartPrevented(target, attempt, report)) {
+      this.#recordLateStart(target, assignment);
       this.recordLost(target, assignment, 'never began');
       return;
     }
     this.#orders.resolveUncertain(assignment);
   }
+
+  /** Records a start that the incarnation for which it was meant did not answer before its end. */
+  #recordLateStart({ id, bornAt }: TargetRecord, { task, attempt }: Assignment): void {
+    if (attempt.hasBegun || attempt.bornAt === bornAt) return;
+    task.lateStart = { targetId: id, startedAt: attempt.startedAt };
+  }
 }
 
 /** Whether a run that a report does not list can no longer begin on the incarnation that reports. */
--- a/packages/execution/test/late-calls.test.ts
+++ b/packages/execution/test/late-calls.test.ts
@@ -4,6 +4,7 @@
 import { LATEST_EXECUTION_MS } from '../src/call-timing.ts';
 import { IncarnationFence } from '../src/incarnation-fence.ts';
 import { JobLookup } from '../src/job-lookup.ts';
+import { LateStarts } from '../src/late-starts.ts';
 import { LeaseRenewer } from '../src/lease-renewer.ts';
 import { StartOutcome, type TargetReport } from '../src/ports.ts';
 import { RegistryReader } from '../src/registry-reader.ts';
@@ -116,6 +117,32 @@
     assert.equal(scenario.task.isActive, false);
   });
 
+  it('may start a task on an incarnation after the next one, so that the task stays on the target', () => {
+    const scenario = new Scenario(StartOutcome.Abandoned);
+    const { harness, target, task, assignment } = scenario;
+    const lateStarts = new LateStarts(harness.context);
+    const pool = [target, harness.addTarget('t2')];
+    scenario.report({ bornAt: 2, clockMs: 15 });
+    scenario.renew();
+    scenario.report({ bornAt: 2, clockMs: 25 });
+    assert.deepEqual(lateStarts.listAllowed(task, pool), [target]);
+    harness.advance(assignment.attempt.startedAt + LATEST_EXECUTION_MS - harness.now);
+    assert.ok(lateStarts.isBound(task), 'the target has not reported since');
+    harness.advance(1);
+    scenario.report({ bornAt: 2, clockMs: UPTIME_MS });
+    assert.deepEqual(lateStarts.listAllowed(task, pool), pool);
+  });
+
+  it('binds no task to a target that did not restart', () => {
+    const scenario = new Scenario(StartOutcome.Abandoned);
+    const { harness, target, task } = scenario;
+    target.fence.open();
+    scenario.renew();
+    scenario.report({ clockMs: UPTIME_MS + 25 });
+    assert.equal(task.isActive, false);
+    assert.equal(new LateStarts(harness.context).isBound(task), false);
+  });
+
   it('may start a task on an incarnation that is cut off from its return on', () => {
     const { harness, processor, target, task } = new Scenario(StartOutcome.Unknown);
     const lastGrantAt = target.leaseGrantedAt ?? 0;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -61,6 +61,13 @@
   stopAnsweredAt: number | undefined;
 }
 
+/** A start that was not answered, and that an incarnation of the target that follows may carry out. */
+export interface LateStart {
+  readonly targetId: string;
+  /** Monotonic time at which it was sent, in milliseconds. */
+  readonly startedAt: number;
+}
+
 /** Shared by all tasks without entries: most tasks never fail, and large jobs have many. */
 const NO_RUNS: ReadonlySet<number> = new Set();
 const NO_NAMES: ReadonlySet<string> = new Set();
@@ -80,6 +87,8 @@
   checkpoint = '';
   /** Time before which the task is not started again. */
   notBefore = 0;
+  /** The last start whose target restarted before it answered; undefined if there is none. */
+  lateStart: LateStart | undefined;
   #failedOn: Set<string> | undefined;
   /** Time at which the last run ended; the downtime of a persistent task counts from it. */
   endedAt = 0;
