fix(jobs,execution): a start that was not answered is no crash under its task

A task under which two targets crash may be given up.

Cause: a start that was sent to a target that was down already, and never answered, counted as a run that the target had not listed yet, the strongest suspicion there is. Two crashes of a rack within seconds were enough to give a task up that no target had begun. Class: silence taken as evidence.

Change: crashes of targets that had accepted the start or listed the run count as before. Others make a task a suspect, which starts where nothing else is unproven, and give it up only together with two of the former, or after four in all, before the starts that BUDGET forbids: it may kill targets before they answer. The ledger keeps both kinds.

--- a/packages/execution/src/crash-detector.ts
+++ b/packages/execution/src/crash-detector.ts
@@ -128,6 +128,7 @@
   const active = lost.filter(({ attempt }) => !attempt.isEndAwaited);
   return active.map(({ task, attempt }) => ({
     task,
+    hasBegun: attempt.hasBegun,
     isListed: attempt.isListed,
     ageMs: (target.reportedAt ?? attempt.startedAt) - attempt.startedAt,
   }));
--- a/packages/execution/test/deadly-tasks.test.ts
+++ b/packages/execution/test/deadly-tasks.test.ts
@@ -27,6 +27,8 @@
   readonly deadlyStarts: string[] = [];
   /** Whether targets that start a deadly task only fall silent, and answer again later. */
   isOnlySilent = false;
+  /** Whether targets crash before they answer the start of a deadly task. */
+  isAnswerLost = false;
   readonly #orders = new RunOrders(this.harness.context);
   readonly #processor: ReportProcessor;
   readonly #quarantine: Quarantine;
@@ -67,9 +69,11 @@
       const target = fleet.find(id);
       const assignment = target?.find(task, run);
       assert.ok(target && assignment);
-      this.#orders.applyStartOutcome(target, assignment, StartOutcome.Accepted);
+      const isDeadly = task.startsWith(`${DEADLY}.0.0.0`);
+      const outcome = isDeadly && this.isAnswerLost ? StartOutcome.Unknown : StartOutcome.Accepted;
+      this.#orders.applyStartOutcome(target, assignment, outcome);
       target.leasesExpireAt = now + LEASE_MS;
-      if (!task.startsWith(`${DEADLY}.0.0.0`)) continue;
+      if (!isDeadly) continue;
       this.deadlyStarts.push(id);
       this.#downUntil.set(target, now + RESTART_MS + (this.isOnlySilent ? LEASE_MS : 0));
     }
@@ -134,6 +138,15 @@
     assert.ok(others.every(({ state }) => state === JobState.Completed));
   });
 
+  it('fails its job before the starts that the protocol forbids if no target answers its start', () => {
+    const day = new DeadlyDay(6);
+    day.isAnswerLost = true;
+    const deadly = day.harness.addJob(DEADLY, [{ count: 6 }]);
+    for (let round = 0; round < ROUNDS; round += 1) day.play();
+    assert.equal(deadly.state, JobState.Failed);
+    assert.ok(day.deadlyStarts.length < 3 + FORBIDDEN_STARTS, day.deadlyStarts.join(' '));
+  });
+
   it('does not fail its job if the targets were only silent', () => {
     const day = new DeadlyDay(6);
     day.isOnlySilent = true;
--- a/packages/jobs/src/crash.ts
+++ b/packages/jobs/src/crash.ts
@@ -1,9 +1,14 @@
 import type { TaskRun } from './task.ts';
 
-/** Crashes of targets under a task, the last one with strong evidence, after which it fails its job. */
+/** Crashes of targets that had begun a task, the last one with strong evidence, after which it fails its job. */
 const MAXIMUM_CRASHES = 2;
-/** Crashes of targets under a task after which it fails its job in any case. */
+/** Suspected crashes, of `MAXIMUM_CRASHES` targets that had begun the task, after which it fails its job. */
 const MAXIMUM_SUSPECTED_CRASHES = 3;
+/**
+ * Suspected crashes after which a task fails its job although its starts got no answer: it may kill targets
+ * before they answer.
+ */
+const MAXIMUM_UNANSWERED_CRASHES = 4;
 /** Milliseconds after its start from which a run is not suspected of crashing its target. */
 const SUSPICION_MS = 5_000;
 
@@ -13,6 +18,8 @@
 /** A run that was active on a target when it crashed. */
 export interface CrashedRun {
   readonly task: TaskRun;
+  /** Whether the target accepted the start, or listed the run: it may have been down before the start. */
+  readonly hasBegun: boolean;
   /** Whether the target listed the run before the crash. */
   readonly isListed: boolean;
   /** Milliseconds between the start of the run and the last sign of life of the target. */
@@ -34,11 +41,14 @@
 export function recordCrash(incarnation: string, runs: readonly CrashedRun[]): CrashVerdict {
   const recent = runs.filter(({ ageMs }) => ageMs < SUSPICION_MS);
   const unlisted = recent.filter(({ isListed }) => !isListed);
-  const suspects = (unlisted.length > 0 ? unlisted : recent).map(({ task }) => task);
+  const suspected = unlisted.length > 0 ? unlisted : recent;
   const isCertain = unlisted.length === 1;
-  const limit = isCertain ? MAXIMUM_CRASHES : MAXIMUM_SUSPECTED_CRASHES;
-  for (const task of suspects) task.recordCrash(incarnation);
-  return { suspects, culprits: suspects.filter((task) => task.crashedOn.size >= limit) };
+  for (const { task, hasBegun } of suspected) {
+    if (hasBegun) task.recordCrash(incarnation);
+    else task.recordUnansweredCrash(incarnation);
+  }
+  const suspects = suspected.map(({ task }) => task);
+  return { suspects, culprits: suspects.filter((task) => isCulprit(task, isCertain)) };
 }
 
 /**
@@ -48,3 +58,9 @@
 export function computeRestartDelayMs(crashes: number): number {
   return PERSISTENT_DELAY_MS * 2 ** Math.max(0, crashes - MAXIMUM_CRASHES);
 }
+
+function isCulprit({ crashedOn, unansweredOn }: TaskRun, isCertain: boolean): boolean {
+  if (crashedOn.size >= MAXIMUM_UNANSWERED_CRASHES) return true;
+  const limit = isCertain ? MAXIMUM_CRASHES : MAXIMUM_SUSPECTED_CRASHES;
+  return crashedOn.size >= limit && crashedOn.size - unansweredOn.size >= MAXIMUM_CRASHES;
+}
--- a/packages/jobs/src/ledger-row.ts
+++ b/packages/jobs/src/ledger-row.ts
@@ -16,6 +16,8 @@
   readonly failedRuns?: Readonly<Record<string, readonly number[]>>;
   /** Incarnations of targets that crashed under each task. */
   readonly crashedOn?: Readonly<Record<string, readonly string[]>>;
+  /** Those of `crashedOn` that never answered the start. */
+  readonly unansweredOn?: Readonly<Record<string, readonly string[]>>;
   readonly checkpoints?: Readonly<Record<string, string>>;
 }
 
@@ -89,12 +91,15 @@
   for (const occurrence of job.occurrences.values()) {
     const failedRuns: Record<string, readonly number[]> = {};
     const crashedOn: Record<string, readonly string[]> = {};
+    const unansweredOn: Record<string, readonly string[]> = {};
     const checkpoints: Record<string, string> = {};
     for (const step of occurrence.steps) {
       for (const task of step.tasks) {
         const taskKey = `${step.index}.${task.index}`;
         if (task.failures > 0 && !task.isDone) failedRuns[taskKey] = [...task.failedRuns];
         if (task.isSuspect && !task.isDone) crashedOn[taskKey] = [...task.crashedOn];
+        if (task.unansweredOn.size > 0 && !task.isDone)
+          unansweredOn[taskKey] = [...task.unansweredOn];
         if (hasCheckpoints && task.checkpoint !== '' && !task.isDone)
           checkpoints[taskKey] = task.checkpoint;
       }
@@ -107,6 +112,7 @@
       done: occurrence.steps.map((step) => encodeBits(step.tasks.map((task) => task.isDone))),
       ...(Object.keys(failedRuns).length > 0 ? { failedRuns } : {}),
       ...(Object.keys(crashedOn).length > 0 ? { crashedOn } : {}),
+      ...(Object.keys(unansweredOn).length > 0 ? { unansweredOn } : {}),
       ...(Object.keys(checkpoints).length > 0 ? { checkpoints } : {}),
     };
   }
@@ -120,7 +126,11 @@
     for (const task of step.tasks) {
       const taskKey = `${step.index}.${task.index}`;
       for (const run of row.failedRuns?.[taskKey] ?? []) task.recordFailedRun(run);
-      for (const target of row.crashedOn?.[taskKey] ?? []) task.recordCrash(target);
+      const unansweredOn = new Set(row.unansweredOn?.[taskKey]);
+      for (const target of row.crashedOn?.[taskKey] ?? []) {
+        if (unansweredOn.has(target)) task.recordUnansweredCrash(target);
+        else task.recordCrash(target);
+      }
       task.checkpoint = row.checkpoints?.[taskKey] ?? '';
       if (!isBitSet(bits, task.index) || task.isDone) continue;
       task.isDone = true;
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -84,6 +84,7 @@
   doneRun = 0;
   #failedRuns: Set<number> | undefined;
   #crashedOn: Set<string> | undefined;
+  #unansweredOn: Set<string> | undefined;
   checkpoint = '';
   /** Time before which the task is not started again. */
   notBefore = 0;
@@ -115,6 +116,11 @@
     return this.#crashedOn ?? NO_NAMES;
   }
 
+  /** Those of `crashedOn` that never answered the start, and so may have crashed before it reached them. */
+  get unansweredOn(): ReadonlySet<string> {
+    return this.#unansweredOn ?? NO_NAMES;
+  }
+
   /** Ids of the targets on which a run of the task failed; other targets are preferred. */
   get failedOn(): ReadonlySet<string> {
     return this.#failedOn ?? NO_NAMES;
@@ -124,16 +130,24 @@
     this.#failedRuns = (this.#failedRuns ?? new Set()).add(run);
   }
 
-  /** Records the crash of an incarnation of a target under the task. */
+  /** Records the crash of an incarnation of a target that had begun the task. */
   recordCrash(incarnation: string): void {
     this.#crashedOn = (this.#crashedOn ?? new Set()).add(incarnation);
+    this.#unansweredOn?.delete(incarnation);
+  }
+
+  /** Records the crash of an incarnation of a target that never answered the start of the task. */
+  recordUnansweredCrash(incarnation: string): void {
+    if (this.crashedOn.has(incarnation)) return;
+    this.recordCrash(incarnation);
+    this.#unansweredOn = (this.#unansweredOn ?? new Set()).add(incarnation);
   }
 
   recordFailedTarget(targetId: string): void {
     this.#failedOn = (this.#failedOn ?? new Set()).add(targetId);
   }
 
-  /** Whether a target has crashed under the task, so that its next run may crash another one. */
+  /** Whether a target may have crashed under the task, so that its next run may crash another one. */
   get isSuspect(): boolean {
     return this.crashedOn.size > 0;
   }
--- a/packages/jobs/test/crash.test.ts
+++ b/packages/jobs/test/crash.test.ts
@@ -37,7 +37,7 @@
 }
 
 function listRuns(tasks: readonly TaskRun[], changes: Partial<CrashedRun> = {}): CrashedRun[] {
-  return tasks.map((task) => ({ task, isListed: false, ageMs: -10, ...changes }));
+  return tasks.map((task) => ({ task, hasBegun: true, isListed: false, ageMs: -10, ...changes }));
 }
 
 // Load: submissions of which one task crashes each target that starts it, among many that do not.
@@ -87,4 +87,25 @@
     assert.deepEqual(recordCrash('t1@1', listRuns([inherited])).culprits, []);
     assert.deepEqual(recordCrash('t2@1', listRuns([inherited])).culprits, [inherited]);
   });
+
+  it('counts as one that no start was answered before, also after a take-over', () => {
+    const job = new Job(STORED);
+    const [first] = createTasks(job);
+    assert.ok(first);
+    recordCrash('t1@1', listRuns([first], { hasBegun: false }));
+    const successor = new Job(STORED);
+    applyLedgerRow(successor, encodeLedgerRow(job));
+    const [inherited] = createTasks(successor);
+    assert.ok(inherited?.isSuspect);
+    assert.deepEqual(recordCrash('t2@1', listRuns([inherited])).culprits, []);
+    assert.deepEqual(recordCrash('t3@1', listRuns([inherited])).culprits, [inherited]);
+  });
+
+  it('counts as one under the task if a later owner learns that the target had begun it', () => {
+    const [first] = createTasks();
+    assert.ok(first);
+    recordCrash('t1@1', listRuns([first], { hasBegun: false }));
+    recordCrash('t1@1', listRuns([first]));
+    assert.deepEqual(recordCrash('t2@1', listRuns([first])).culprits, [first]);
+  });
 });
