--- a/packages/execution/src/call-timing.ts
+++ b/packages/execution/src/call-timing.ts
@@ -10,8 +10,8 @@
 /** Milliseconds by which a target may delay its answer to a renewal at most. */
 export const MAXIMUM_POLL_MS = 750;
 /**
- * Milliseconds by which a target carries out a call late at most, as the platform's operators state it.
- * Neither a reset connection nor a restart of the target prevents that.
+ * Milliseconds by which a target carries out a call late at most, as the operators' list of
+ * disruptions states it; the protocol says seconds. Neither a reset connection nor a restart of the target prevents that.
  */
 export const MAXIMUM_EXECUTION_DELAY_MS = 12_000;
 /** Milliseconds after an order was given from which no incarnation carries it out any more. */
@@ -20,8 +20,15 @@
 /** Milliseconds by which the wall clocks of targets and nodes may differ. */
 export const WALL_CLOCK_TOLERANCE_MS = 2_000;
 /**
- * Milliseconds after its start for which a task is kept from starting elsewhere by a target that is silent and
- * that the registry lacks. The protocol takes such a target to be gone, but it may only be cut off. One
- * second less than the 17 s within which a task that can run has to run after the last submission.
+ * Milliseconds after the last submission, or after its own start, for which a task is kept from starting
+ * elsewhere by a start without an answer. Callers expect each task that can run to run 17 s after the last
+ * submission at the latest.
  */
-export const MAXIMUM_WAIT_FOR_GONE_MS = 16_000;
+export const MAXIMUM_WAIT_MS = 16_000;
+/** Milliseconds for which a persistent task waits for a target that is gone; callers expect 9 s at most. */
+export const MAXIMUM_OUTAGE_MS = 8_000;
+/**
+ * Milliseconds for which a new owner keeps the tasks of a pool waiting for one of its targets. Less than those
+ * 17 s by the time that a take-over needs.
+ */
+export const MAXIMUM_POOL_WAIT_MS = 13_000;
--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -1,9 +1,18 @@
 import type { Attempt, TaskRun } from '@currantgap/jobs';
 import type { TargetEntry } from '@currantgap/model';
 import { ResourceSum } from '@currantgap/scheduling';
-import { LATEST_EXECUTION_MS } from './call-timing.ts';
 import { TargetRecord, type Assignment } from './target-record.ts';
 
+/** What is kept of a target that was forgotten. */
+interface ForgottenTarget {
+  /** Highest fencing token that the target may have seen in this term. */
+  readonly token: number;
+  /** Start of the incarnation that reported last, Unix milliseconds; undefined if none did. */
+  readonly bornAt: number | undefined;
+  /** Monotonic time of the last lease grant, in milliseconds; undefined if there was none. */
+  readonly leaseGrantedAt: number | undefined;
+}
+
 /** All targets, the runs assigned to them and the resources that each team uses. */
 export class Fleet {
   readonly #token: number;
@@ -13,8 +22,8 @@
   readonly #cordonedVms = new Set<string>();
   /** Incarnations that are presumed to have ended, as Unix milliseconds of their start, by target id. */
   readonly #terminated = new Map<string, number>();
-  /** Monotonic times at which targets that were forgotten since have been granted a lease, by id. */
-  readonly #formerGrants = new Map<string, number>();
+  /** Targets that were forgotten, by id. */
+  readonly #forgotten = new Map<string, ForgottenTarget>();
   /** Monotonic times until which an order of an earlier owner may end the targets of a VM. */
   readonly #earlierOrders = new Map<string, number>();
 
@@ -49,16 +58,20 @@
     if (this.#terminated.get(entry.id) === entry.bornAt) return undefined;
     const known = this.#targets.get(entry.id);
     if (known === undefined) {
-      const created = new TargetRecord(entry, leasesExpireAt, this.#token);
+      const former = this.#forgotten.get(entry.id);
+      const created = new TargetRecord(entry, leasesExpireAt, former?.token ?? this.#token);
       created.isCordoned = entry.vm !== undefined && this.#cordonedVms.has(entry.vm);
-      created.leaseGrantedAt = this.#formerGrants.get(entry.id);
-      if (created.leaseGrantedAt !== undefined) created.fence.open();
+      if (former !== undefined) {
+        created.bornAt = former.bornAt;
+        created.leaseGrantedAt = former.leaseGrantedAt;
+        created.fence.doubt();
+      }
       this.#targets.set(entry.id, created);
       this.#addToVm(created);
       return created;
     }
     const hasRestarted = known.entry.bornAt !== entry.bornAt && known.bornAt !== entry.bornAt;
-    if (hasRestarted) known.fence.open();
+    if (hasRestarted) known.fence.doubt();
     this.#removeFromVm(known);
     known.entry = entry;
     known.isRegistered = true;
@@ -129,7 +142,7 @@
   terminate(target: TargetRecord, now: number): void {
     if (target.isRegistered) target.endPresumedAt = now;
     target.isRegistered = false;
-    target.fence.open();
+    target.fence.doubt();
     this.#terminated.set(target.id, target.entry.bornAt);
   }
 
@@ -153,17 +166,15 @@
   }
 
   /**
-   * Forgets a target that is not registered and has no assigned runs, but for the leases that calls of the
-   * past may grant to an incarnation that registers later.
+   * Forgets a target that is not registered and has no assigned runs, but for what an incarnation that
+   * registers later must be told apart by.
    */
-  forget(target: TargetRecord, now: number): void {
+  forget(target: TargetRecord): void {
     if (target.isRegistered || target.assignmentCount > 0) return;
-    this.#targets.delete(target.id);
+    const { id, bornAt, fence, leaseGrantedAt } = target;
+    this.#targets.delete(id);
     this.#removeFromVm(target);
-    for (const [id, grantedAt] of this.#formerGrants)
-      if (now > grantedAt + LATEST_EXECUTION_MS) this.#formerGrants.delete(id);
-    if (target.leaseGrantedAt !== undefined)
-      this.#formerGrants.set(target.id, target.leaseGrantedAt);
+    this.#forgotten.set(id, { token: fence.token, bornAt, leaseGrantedAt });
   }
 
   /**
--- a/packages/execution/src/incarnation-fence.ts
+++ b/packages/execution/src/incarnation-fence.ts
@@ -1,8 +1,10 @@
 /** Whether calls of the past can take effect on a target. */
 enum FenceState {
-  /** The target has answered the token, so no call with a lower one can. */
+  /** The incarnation has answered the token, so no call with a lower one can. */
   Closed,
-  /** Another incarnation may answer, which has seen no token yet. */
+  /** Another incarnation may answer. */
+  Doubted,
+  /** Another incarnation has answered, which has seen no token yet. */
   Open,
   /** The token was raised and has not been answered yet. */
   Raised,
@@ -10,16 +12,16 @@
 
 /**
  * Keeps calls of the past from taking effect on a target. A target does nothing for a call whose fencing
- * token is lower than the highest one that it has seen, but a new incarnation has seen none. Whenever
- * another incarnation may answer, the token is raised: once the target has answered it, no call that was
- * sent before can take effect on that incarnation, however late it arrives. Until then the target is
- * sent nothing that means something else on another incarnation.
+ * token is lower than the highest one that it has seen, but a new incarnation has seen none. When another
+ * incarnation answers, the token is raised: once the target has answered it, no call that was sent before
+ * can take effect on that incarnation, however late it arrives. Until then, and as long as another
+ * incarnation may answer, the target is sent nothing that means something else on another incarnation.
  */
 export class IncarnationFence {
   #state = FenceState.Closed;
   #token: number;
 
-  /** `token` is the fencing token of the owner's term. */
+  /** `token` is the fencing token of the owner's term, or the last one that it has used for the target. */
   constructor(token: number) {
     this.#token = token;
   }
@@ -29,14 +31,30 @@
     return this.#token;
   }
 
-  /** Whether the incarnation that answered last takes no call of the past. */
+  /** Whether the incarnation that answered last takes no call of the past, and may be taken to be up. */
   get isClosed(): boolean {
     return this.#state === FenceState.Closed;
   }
 
+  /** Whether the token is to be raised. */
+  get isOpen(): boolean {
+    return this.#state === FenceState.Open;
+  }
+
   /** Records that another incarnation than the one that answered last may answer. */
+  doubt(): void {
+    if (this.#state === FenceState.Closed) this.#state = FenceState.Doubted;
+  }
+
+  /** Records that the same incarnation has answered again. */
+  confirm(): void {
+    if (this.#state === FenceState.Doubted) this.#state = FenceState.Closed;
+  }
+
+  /** Records that another incarnation has answered than the one that has answered the token. */
   open(): void {
-    if (this.#state === FenceState.Closed) this.#state = FenceState.Open;
+    // Nothing that matters was sent with a raised token before its answer.
+    if (this.#state !== FenceState.Raised) this.#state = FenceState.Open;
   }
 
   /**
--- a/packages/execution/src/incarnation-tracker.ts
+++ b/packages/execution/src/incarnation-tracker.ts
@@ -22,12 +22,16 @@
 
   /** Applies a report whose request was sent at `sentAt` with a fencing token. */
   apply(target: TargetRecord, report: TargetReport, sentAt: number, token: number): void {
+    const isSuperseded = target.isSuperseded(report, sentAt);
     if (report.bornAt !== undefined && report.bornAt !== target.bornAt) {
       if (target.bornAt !== undefined) this.#endIncarnation(target, report, sentAt);
-      else this.#checkFormerGrants(target, report);
+      else this.#checkEarlierGrants(target, report);
       target.bornAt = report.bornAt;
     }
-    if (target.fence.close(token)) this.#recordClosed(target, report);
+    if (!isSuperseded) {
+      target.fence.confirm();
+      if (target.fence.close(token)) this.#recordClosed(target, report);
+    }
     if (target.fence.isClosed) target.closedBornAt = target.bornAt ?? target.closedBornAt;
     this.#checkPresumedEnd(target, report, sentAt);
   }
@@ -50,17 +54,12 @@
   }
 
   /**
-   * Takes into account that an incarnation that reports for the first time may have got grants on the clock of
-   * a former one: of this owner, if it has forgotten the target since, or of an earlier owner, which is fenced
-   * off from now on.
+   * Takes into account that an earlier owner, which may not have known the incarnation that reports for the
+   * first time, has sent it grants on the clock of a former one. It is fenced off from now on.
    */
-  #checkFormerGrants(target: TargetRecord, report: TargetReport): void {
+  #checkEarlierGrants(target: TargetRecord, report: TargetReport): void {
     const { clock, reconciliation, term } = this.#context;
     const maximumLeaseMs = computeMaximumLeaseMs(this.#context);
-    if (target.leaseGrantedAt !== undefined) {
-      target.expectForeignGrant(maximumLeaseMs, clock.now);
-      this.#writeLongestLease(target, 'restart');
-    }
     const latestGrantAt = reconciliation.predecessorDeposedAt + LATEST_EXECUTION_MS;
     const ageMs = estimateAge(report);
     const isYoung = ageMs < maximumLeaseMs + LATEST_EXECUTION_MS;
--- a/packages/execution/src/late-starts.ts
+++ b/packages/execution/src/late-starts.ts
@@ -1,10 +1,17 @@
-import type { Attempt, TaskRun } from '@currantgap/jobs';
-import { LATEST_EXECUTION_MS, MAXIMUM_WAIT_FOR_GONE_MS } from './call-timing.ts';
+import type { TaskRun } from '@currantgap/jobs';
+import {
+  CALL_TIMEOUT_MS,
+  LATEST_EXECUTION_MS,
+  MAXIMUM_OUTAGE_MS,
+  MAXIMUM_POLL_MS,
+  MAXIMUM_WAIT_MS,
+} from './call-timing.ts';
 import { computeMaximumLeaseMs, type OwnerContext } from './context.ts';
-import type { TargetRecord } from './target-record.ts';
+import type { Assignment, TargetRecord } from './target-record.ts';
 
 /** Milliseconds within which the entry of a target that is up returns to the registry, as the protocol says. */
 const REGISTRATION_RETURN_MS = 2_000;
+
 /** Decides what starts without an answer may still do, so that no task runs twice. */
 export class LateStarts {
   readonly #context: OwnerContext;
@@ -14,15 +21,20 @@
   }
 
   /**
-   * Whether a start that a silent target has not answered can begin no run any more, and whether one that it
-   * has begun is over: another incarnation that carries it out holds the lease of any call of the past.
+   * Whether a start that a silent target has not answered keeps its task no longer. It can begin no run any
+   * more, and one that it has begun is over: another incarnation that carries it out holds the lease of
+   * any call of the past. Callers' bounds for a task that waits end this earlier.
    */
-  isWithoutEffect(target: TargetRecord, { startedAt, bornAt }: Attempt): boolean {
-    const { clock } = this.#context;
-    if (this.#context.fleet.isReplaced(target)) return true;
-    if (this.#isGone(target) && clock.now > startedAt + MAXIMUM_WAIT_FOR_GONE_MS) return true;
+  isOver(target: TargetRecord, { task, attempt }: Assignment): boolean {
+    const { clock, fleet } = this.#context;
+    const { startedAt, bornAt } = attempt;
+    const { allowsDuplicates, isPersistent } = task.step.definition;
+    if (allowsDuplicates || fleet.isReplaced(target)) return true;
     const isSameIncarnation = target.isRegistered && target.entry.bornAt === bornAt;
-    if (isSameIncarnation && target.registeredAt > startedAt + LATEST_EXECUTION_MS) return true;
+    if (isSameIncarnation && target.heartbeatAt > startedAt + LATEST_EXECUTION_MS) return true;
+    const isOutage = isPersistent && clock.now > startedAt + MAXIMUM_OUTAGE_MS;
+    if (isOutage && this.#isGone(target)) return true;
+    if (this.#isWaitOver(startedAt)) return true;
     return clock.now > target.computeForeignLeaseEnd(computeMaximumLeaseMs(this.#context));
   }
 
@@ -46,21 +58,28 @@
     const { lateStart } = task;
     if (lateStart === undefined) return undefined;
     const { targetId, startedAt } = lateStart;
-    if (!this.#isOver(targetId, startedAt)) return targetId;
+    if (!this.#isBindingOver(targetId, startedAt)) return targetId;
     task.lateStart = undefined;
     return undefined;
   }
 
-  #isOver(targetId: string, startedAt: number): boolean {
+  #isBindingOver(targetId: string, startedAt: number): boolean {
     const { clock, fleet } = this.#context;
+    const target = fleet.find(targetId);
+    if (target !== undefined && fleet.isReplaced(target)) return true;
     const executedBefore = startedAt + LATEST_EXECUTION_MS;
     if (clock.now < executedBefore) return false;
-    if (clock.now >= executedBefore + computeMaximumLeaseMs(this.#context)) return true;
-    const target = fleet.find(targetId);
-    const isGone = target === undefined || this.#isGone(target);
-    if (isGone) return clock.now > startedAt + MAXIMUM_WAIT_FOR_GONE_MS;
-    // A report since then would have listed the run.
-    return fleet.isReplaced(target) || (target.reportedAt ?? 0) > executedBefore;
+    const isLeaseOver = clock.now >= executedBefore + computeMaximumLeaseMs(this.#context);
+    if (isLeaseOver || this.#isWaitOver(startedAt)) return true;
+    // A report that was requested since then would have listed the run.
+    const latestRequestMs = CALL_TIMEOUT_MS + MAXIMUM_POLL_MS;
+    return (target?.reportedAt ?? -Infinity) > executedBefore + latestRequestMs;
+  }
+
+  /** Whether callers expect the task to run, whatever may have become of its start. */
+  #isWaitOver(startedAt: number): boolean {
+    const { arrivals, clock } = this.#context;
+    return clock.now > Math.max(startedAt, arrivals.lastArrivalAt) + MAXIMUM_WAIT_MS;
   }
 
   #isGone({ isRegistered, unregisteredAt }: TargetRecord): boolean {
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -31,6 +31,9 @@
  */
 const UNACKNOWLEDGED_PAUSE_MS = 250;
 
+/** Milliseconds between renewals while the token of an open fence cannot be raised. */
+const OPEN_FENCE_PAUSE_MS = 100;
+
 /** Keeps one lease renewal in flight on each target, whose answer also reports the ended runs. */
 export class LeaseRenewer {
   readonly #context: OwnerContext;
@@ -87,7 +90,7 @@
   /** Records that a renewal returned no report. */
   recordSilence(target: TargetRecord): void {
     target.unansweredCalls += 1;
-    target.fence.open();
+    target.fence.doubt();
     const retryMs = target.endPresumedAt === undefined ? NO_ANSWER_RETRY_MS : ENDED_RETRY_MS;
     target.renewNotBefore = this.#context.clock.now + retryMs;
   }
@@ -166,7 +169,7 @@
       target.endPresumedAt !== undefined ||
       reconciliation.isPartlyReported(target.id);
     if (!target.isRegistered && !isNeeded) {
-      fleet.forget(target, now);
+      fleet.forget(target);
       return;
     }
     target.isRenewalInFlight = true;
@@ -174,6 +177,8 @@
     const { renewal, bornAt: knownBornAt } = target;
     const token = this.#takeToken(target);
     const isClockKnown = target.hasClock && target.fence.isClosed;
+    // Without a grant the target answers at once, which would not change anything.
+    if (target.fence.isOpen) target.renewNotBefore = now + OPEN_FENCE_PAUSE_MS;
     const waitMs =
       isClockKnown && !this.#hasUnacknowledgedEnds(target) ? this.#getPollMs(target) : 0;
     const isUnconfirmed = target.acknowledgedThrough > target.confirmedThrough;
--- a/packages/execution/src/pool-arrivals.ts
+++ b/packages/execution/src/pool-arrivals.ts
@@ -6,13 +6,20 @@
 export class PoolArrivals {
   readonly #durations: DurationModel;
   readonly #meters = new Map<string, ArrivalMeter>();
+  #lastArrivalAt = -Infinity;
 
   constructor(durations: DurationModel) {
     this.#durations = durations;
   }
 
+  /** Monotonic time of the last submission in this term, in milliseconds. */
+  get lastArrivalAt(): number {
+    return this.#lastArrivalAt;
+  }
+
   /** Records a submission for a service; persistent and scheduled jobs do not count as arrivals. */
   record(service: string, job: Job, now: number): void {
+    this.#lastArrivalAt = now;
     if (job.isPersistent || job.isScheduled) return;
     let cpuWork = 0;
     let memoryWork = 0;
--- a/packages/execution/src/ports.ts
+++ b/packages/execution/src/ports.ts
@@ -9,7 +9,7 @@
   readonly dataCentre: string;
 }
 
-/** An order whose meaning belongs to one incarnation, so that it must not reach a later one. */
+/** An order whose meaning belongs to one incarnation, so that it is not sent for long. */
 export interface PerishableOrder {
   /**
    * Time on the boot clock of the node that makes the call, in milliseconds, after which the call is
@@ -58,7 +58,7 @@
   Unsent = 'unsent',
   /**
    * No answer arrived and the call was given up: the target may have carried the order out, or may still do
-   * so, but the call can reach no later incarnation.
+   * so, but the order is sent no more.
    */
   Abandoned = 'abandoned',
   /** Nothing is known: the call may be under way, and reach the target or a later incarnation. */
--- a/packages/execution/src/reconciliation.ts
+++ b/packages/execution/src/reconciliation.ts
@@ -1,5 +1,5 @@
 import type { LeasedTarget } from '@currantgap/ownership';
-import { LATEST_EXECUTION_MS, MAXIMUM_WAIT_FOR_GONE_MS } from './call-timing.ts';
+import { LATEST_EXECUTION_MS, MAXIMUM_POOL_WAIT_MS } from './call-timing.ts';
 
 /** Milliseconds after which a predecessor that still runs has learnt from a target that it is deposed. */
 const DEPOSITION_NOTICE_MS = 1_000;
@@ -73,10 +73,10 @@
     });
   }
 
-  /** Records that the registry lists an awaited target, so that it is not taken to be gone. */
-  recordRegistered(targetId: string): void {
+  /** Records whether the registry lists an awaited target, so that it is not taken to be gone. */
+  recordRegistered(targetId: string, isRegistered: boolean): void {
     const known = this.#pending.get(targetId);
-    if (known !== undefined) this.#pending.set(targetId, { ...known, isRegistered: true });
+    if (known !== undefined) this.#pending.set(targetId, { ...known, isRegistered });
   }
 
   /** Finds what earlier terms have recorded of a target that has not reported yet. */
@@ -135,10 +135,11 @@
    * may carry out late, this takes longer: it is listed with their tasks alone.
    */
   listPending(now: number): readonly LeasedTarget[] {
-    const goneAt = this.predecessorDeposedAt + MAXIMUM_WAIT_FOR_GONE_MS;
+    const goneAt = this.predecessorDeposedAt + MAXIMUM_POOL_WAIT_MS;
     return [...this.#pending.values()].flatMap(({ target, leasesExpireAt, isRegistered }) => {
       if (now < leasesExpireAt) return [target];
-      const { unanswered = [] } = target;
+      // Rows of earlier versions do not tell these tasks apart.
+      const { tasks = [], unanswered = tasks } = target;
       const lateStartsEndAt = isRegistered ? this.lateDeadline : goneAt;
       const isLateStartPossible = unanswered.length > 0 && now < lateStartsEndAt;
       return isLateStartPossible ? [{ ...target, tasks: unanswered }] : [];
--- a/packages/execution/src/registry-reader.ts
+++ b/packages/execution/src/registry-reader.ts
@@ -1,6 +1,10 @@
 import type { TargetEntry } from '@currantgap/model';
 import { applyRows, type Row } from '@currantgap/store';
-import { LATEST_EXECUTION_MS, WALL_CLOCK_TOLERANCE_MS } from './call-timing.ts';
+import {
+  LATEST_EXECUTION_MS,
+  MAXIMUM_POOL_WAIT_MS,
+  WALL_CLOCK_TOLERANCE_MS,
+} from './call-timing.ts';
 import { computeMaximumLeaseMs, getWallNow, type OwnerContext } from './context.ts';
 import type { TargetRecord } from './target-record.ts';
 
@@ -71,6 +75,7 @@
     const { clock, fleet, logger } = this.#context;
     const isRegistered = fleet.find(id)?.isRegistered === true;
     const target = fleet.unregister(id);
+    this.#context.reconciliation.recordRegistered(id, false);
     if (!isRegistered || target === undefined) return;
     target.unregisteredAt = clock.now;
     logger.writeInfo('target unregistered', { target: id });
@@ -79,18 +84,23 @@
   /** Registers a target; one that a snapshot contains may have runs of an earlier term. */
   #register(entry: TargetEntry, isSnapshot: boolean): void {
     const { fleet, reconciliation } = this.#context;
-    const isNew = fleet.find(entry.id) === undefined;
-    const leasesExpireAt = isSnapshot ? this.#computeLeaseExpiry(entry) : 0;
+    const { id, service } = entry;
+    const isNew = fleet.find(id) === undefined;
+    // An awaited target may have restarted since the snapshot.
+    const isAwaited = (isSnapshot && isNew) || reconciliation.findExpected(id) !== undefined;
+    const leasesExpireAt = isAwaited ? this.#computeLeaseExpiry(entry) : 0;
     const target = fleet.register(entry, leasesExpireAt);
-    if (target !== undefined) target.registeredAt = this.#context.clock.now;
-    if (!isNew || target === undefined) return;
-    target.closedBornAt = this.#findClosedIncarnation(target);
-    if (isSnapshot) {
-      const { id, service } = entry;
+    if (target === undefined) return;
+    target.registeredAt = this.#context.clock.now;
+    // A snapshot also repeats entries whose heartbeats were written long before.
+    if (!isSnapshot) target.heartbeatAt = this.#context.clock.now;
+    if (isNew) target.closedBornAt = this.#findClosedIncarnation(target);
+    if (isAwaited) {
+      target.leasesExpireAt = Math.max(target.leasesExpireAt, leasesExpireAt);
       reconciliation.expectReport({ id, service }, leasesExpireAt);
-      reconciliation.recordRegistered(id);
+      reconciliation.recordRegistered(id, true);
     }
-    this.#writeRegistered(target);
+    if (isNew) this.#writeRegistered(target);
   }
 
   /** Finds the incarnation of a new target that no call of the past reaches: the first one is such. */
@@ -107,7 +117,7 @@
    */
   #computeLeaseExpiry({ id, bornAt }: TargetEntry): number {
     const { clock, reconciliation, term } = this.#context;
-    const { deadline, lateDeadline, predecessorDeposedAt } = reconciliation;
+    const { deadline, predecessorDeposedAt } = reconciliation;
     const maximumLeaseMs = computeMaximumLeaseMs(this.#context);
     const youngMs = maximumLeaseMs + LATEST_EXECUTION_MS + WALL_CLOCK_TOLERANCE_MS;
     const remainingMs = youngMs - (getWallNow() - bornAt);
@@ -115,7 +125,8 @@
     const expected = reconciliation.findExpected(id);
     // An earlier owner records a target before it gives it any work.
     const isClosed = expected === undefined || expected.closedBornAt === bornAt;
-    const foreignEnd = isClosed ? predecessorDeposedAt + maximumLeaseMs : lateDeadline;
+    const waitMs = isClosed ? maximumLeaseMs : MAXIMUM_POOL_WAIT_MS;
+    const foreignEnd = predecessorDeposedAt + waitMs;
     return Math.max(deadline, Math.min(foreignEnd, clock.now + remainingMs));
   }
 
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -3,7 +3,6 @@
   computeRestartDelayMs,
   EndEffect,
   isFailure,
-  type Attempt,
   type Job,
   type TaskRun,
 } from '@currantgap/jobs';
@@ -43,7 +42,7 @@
   }
 
   /**
-   * Applies a report whose request was sent at `sentAt` with a fencing token; 0 if it is not known. Returns
+   * Applies a report whose request was sent at `sentAt` with a fencing token; 0 for one that closes no fence. Returns
    * the number of the ledger change that must be stored before the report's ended runs are acknowledged;
    * 0 if there is none.
    */
@@ -111,7 +110,7 @@
   recordAllLost(target: TargetRecord, reason: LossReason): void {
     const { crashes } = this.#context;
     const lost = [...target.assignments].filter(
-      ({ attempt }) => reason !== LossReason.LeasesExpired || this.#isLeaseOver(target, attempt),
+      (assignment) => reason !== LossReason.LeasesExpired || this.#isLeaseOver(target, assignment),
     );
     for (const assignment of lost) this.#unlisted.recordLost(target, assignment, reason);
     if (reason === LossReason.LeasesExpired) crashes.recordSilentLoss(target, lost);
@@ -122,8 +121,8 @@
    * Whether a run on a target whose leases have expired is over as well: a start without an answer may be
    * carried out late.
    */
-  #isLeaseOver(target: TargetRecord, attempt: Attempt): boolean {
-    return attempt.hasBegun || this.#lateStarts.isWithoutEffect(target, attempt);
+  #isLeaseOver(target: TargetRecord, assignment: Assignment): boolean {
+    return assignment.attempt.hasBegun || this.#lateStarts.isOver(target, assignment);
   }
 
   /** Gives up the tasks that have crashed too many targets, and stores the crashes of all suspects. */
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -88,7 +88,7 @@
   }
 
   /**
-   * Gives up the call of a start that was not answered, so that it reaches no later incarnation, and
+   * Gives up the call of a start that was not answered, so that it is sent no more, and
    * sends a stop, so that the target refuses the start if it arrives late. The attempt is not marked as
    * stopping: a run that has begun counts as running once the target reports it.
    */
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -24,6 +24,8 @@
   isRegistered = true;
   /** Time at which the registry's entry was last read. */
   registeredAt = -Infinity;
+  /** Time at which the registry last told of a heartbeat. */
+  heartbeatAt = -Infinity;
   /** Time at which the registry's entry was last found removed; undefined if it never was. */
   unregisteredAt: number | undefined;
   /**
@@ -177,6 +179,14 @@
     return this.#clockReadAt > 0;
   }
 
+  /**
+   * Whether an answer to a request of `sentAt` may be of an incarnation that has ended: the registry has shown a
+   * later one since.
+   */
+  isSuperseded({ bornAt }: Pick<TargetReport, 'bornAt'>, sentAt: number): boolean {
+    return bornAt !== undefined && bornAt < this.entry.bornAt && sentAt <= this.registeredAt;
+  }
+
   /** Whether the target accepts new work, regardless of its free capacity. */
   isOpen(now: number): boolean {
     return (
--- a/packages/execution/src/target-roster.ts
+++ b/packages/execution/src/target-roster.ts
@@ -145,17 +145,15 @@
 function describeTarget(target: TargetRecord): LeasedTarget {
   const { id, entry, closedBornAt, unansweredCalls, appliedThrough, acknowledgedThrough } = target;
   const { service } = entry;
-  const hasUnstoredEnds = target.hasUnappliedEnds || appliedThrough > acknowledgedThrough;
-  if (unansweredCalls === 0 || hasUnstoredEnds) return { id, service, closedBornAt };
+  if (unansweredCalls === 0) return { id, service, closedBornAt };
   const assignments = [...target.assignments];
-  const unanswered = assignments.filter(({ attempt }) => !attempt.hasBegun);
-  return {
-    id,
-    service,
-    closedBornAt,
-    tasks: assignments.map(({ task }) => task.name),
-    unanswered: unanswered.map(({ task }) => task.name),
-  };
+  const unanswered = assignments
+    .filter(({ attempt }) => !attempt.hasBegun)
+    .map(({ task }) => task.name);
+  const hasUnstoredEnds = target.hasUnappliedEnds || appliedThrough > acknowledgedThrough;
+  if (hasUnstoredEnds) return { id, service, closedBornAt, unanswered };
+  const tasks = assignments.map(({ task }) => task.name);
+  return { id, service, closedBornAt, tasks, unanswered };
 }
 
 function encodeTarget({ service, tasks, unanswered, closedBornAt }: LeasedTarget): string {
--- a/packages/execution/src/unlisted-runs.ts
+++ b/packages/execution/src/unlisted-runs.ts
@@ -99,6 +99,9 @@
 
   /** Records a start that the incarnation for which it was meant did not answer before its end. */
   #recordLateStart({ id, bornAt }: TargetRecord, { task, attempt }: Assignment): void {
+    const { allowsDuplicates, isPersistent } = task.step.definition;
+    // A persistent task may not wait for one target.
+    if (allowsDuplicates || isPersistent) return;
     if (attempt.hasBegun || attempt.bornAt === bornAt) return;
     task.lateStart = { targetId: id, startedAt: attempt.startedAt };
   }
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -195,8 +195,9 @@
     const running = new Set(vms.map(({ targetId }) => targetId));
     // Without the ids of targets, the list says nothing about them.
     if (!this.#hasTargetIds) return;
-    for (const { id } of reconciliation.listPending(clock.now)) {
-      if (running.has(id)) continue;
+    for (const { id, unanswered = [] } of reconciliation.listPending(clock.now)) {
+      // A target that is only down may return under its id and carry these starts out.
+      if (running.has(id) || unanswered.length > 0) continue;
       reconciliation.recordReport(id);
       logger.writeInfo('target no longer on any VM', { target: id });
     }
--- a/packages/execution/test/later-incarnations.test.ts
+++ b/packages/execution/test/later-incarnations.test.ts
@@ -137,6 +137,7 @@
     harness.advance(target.leasesExpireAt + 1 - harness.now);
     processor.recordAllLost(target, LossReason.LeasesExpired);
     assert.ok(task.isActive);
+    harness.context.arrivals.record('kartes', task.step.job, harness.now + 20_000);
     harness.advance(attempt.startedAt + LATEST_EXECUTION_MS + MAXIMUM_LEASE_MS - harness.now);
     processor.recordAllLost(target, LossReason.LeasesExpired);
     assert.ok(task.isActive);
--- a/packages/ownership/src/rows.ts
+++ b/packages/ownership/src/rows.ts
@@ -46,7 +46,7 @@
    * new tasks until a later description of it omits this field.
    */
   readonly tasks?: readonly string[];
-  /** Those of the tasks whose starts were not answered: the target may carry them out late. */
+  /** Tasks whose starts were not answered while the target does not respond: it may carry them out late. */
   readonly unanswered?: readonly string[];
   /**
    * Start of the last incarnation, Unix milliseconds, on which no call of the past could take effect any
