fix(execution): what a new owner waits for starts without an answer ends with callers' bound

Found by the review: an inherited task with an unanswered start on a target that does not report waited 25 s after the take-over, while LOST allows 17 s after the last submission. The bound now counts from the last submission, as it does for the owner's own starts, so the state of the registry entry need not be kept.

--- a/packages/execution/src/build-context.ts
+++ b/packages/execution/src/build-context.ts
@@ -67,13 +67,13 @@
   const fleet = new Fleet(term.token);
   const active = new Map<string, JobRecord>();
   const durations = new DurationModel();
-  const reconciliation = new Reconciliation(
-    {
-      leaseMs: predecessorLeaseMs / MINIMUM_CLOCK_RATE,
-      maximumLeaseMs: computeMaximumLeaseMs({ bounds }),
-    },
-    clock.now,
-  );
+  const arrivals = new PoolArrivals(durations);
+  const reconciliation = new Reconciliation({
+    leaseMs: predecessorLeaseMs / MINIMUM_CLOCK_RATE,
+    maximumLeaseMs: computeMaximumLeaseMs({ bounds }),
+    now: clock.now,
+    arrivals,
+  });
   return {
     term,
     clock,
@@ -85,7 +85,7 @@
     partitionGuard: new PartitionGuard(fleet, clock, options.hasValidLease),
     jobs: new JobIndex(logger),
     active,
-    arrivals: new PoolArrivals(durations),
+    arrivals,
     ledger: new Ledger(writer, onJobEnded),
     leasePolicy: new LeasePolicy(bounds.leaseMaximumMs, {
       earlierLeaseMs: predecessorLeaseMs,
--- a/packages/execution/src/call-timing.ts
+++ b/packages/execution/src/call-timing.ts
@@ -28,7 +28,7 @@
 /** Milliseconds for which a persistent task waits for a target that is gone; callers expect 9 s at most. */
 export const MAXIMUM_OUTAGE_MS = 8_000;
 /**
- * Milliseconds for which a new owner keeps the tasks of a pool waiting for one of its targets. Less than those
- * 17 s by the time that a take-over needs.
+ * Milliseconds for which a new owner keeps tasks waiting for a target that does not report. Less than those 17 s
+ * by the time that a take-over needs.
  */
 export const MAXIMUM_POOL_WAIT_MS = 13_000;
--- a/packages/execution/src/reconciliation.ts
+++ b/packages/execution/src/reconciliation.ts
@@ -1,5 +1,6 @@
 import type { LeasedTarget } from '@currantgap/ownership';
 import { LATEST_EXECUTION_MS, MAXIMUM_POOL_WAIT_MS } from './call-timing.ts';
+import type { PoolArrivals } from './pool-arrivals.ts';
 
 /** Milliseconds after which a predecessor that still runs has learnt from a target that it is deposed. */
 const DEPOSITION_NOTICE_MS = 1_000;
@@ -9,16 +10,17 @@
   readonly target: LeasedTarget;
   /** Monotonic time at which its leases of earlier terms have expired, in milliseconds. */
   readonly leasesExpireAt: number;
-  /** Whether the registry lists the target; otherwise the protocol takes it to be gone. */
-  readonly isRegistered: boolean;
 }
 
-/** Longest leases of earlier terms, in milliseconds on this node's clock. */
-export interface LeaseBounds {
-  /** Of those that were granted to the incarnations that hold them. */
+/** Options of a reconciliation; times are milliseconds on this node's clock. */
+export interface ReconciliationOptions {
+  /** Longest lease of earlier terms on the incarnation that it was granted to. */
   readonly leaseMs: number;
-  /** Of those that a target grants at all. */
+  /** Longest lease that a target grants at all. */
   readonly maximumLeaseMs: number;
+  /** Start of this term. */
+  readonly now: number;
+  readonly arrivals: Pick<PoolArrivals, 'lastArrivalAt'>;
 }
 
 /**
@@ -33,6 +35,7 @@
   /** Longest time in milliseconds, on this node's clock, for which a lease of an earlier term lasts. */
   readonly leaseMs: number;
   readonly #maximumLeaseMs: number;
+  readonly #arrivals: ReconciliationOptions['arrivals'];
   readonly #pending = new Map<string, PendingReport>();
   /** Services of targets that have reported, but not all of their ended runs, by target id. */
   readonly #partial = new Map<string, string>();
@@ -40,8 +43,9 @@
   /** Monotonic time from which a predecessor that still runs knows that it is deposed. */
   readonly predecessorDeposedAt: number;
 
-  constructor({ leaseMs, maximumLeaseMs }: LeaseBounds, now: number) {
+  constructor({ leaseMs, maximumLeaseMs, now, arrivals }: ReconciliationOptions) {
     this.leaseMs = leaseMs;
+    this.#arrivals = arrivals;
     this.#maximumLeaseMs = maximumLeaseMs;
     this.predecessorDeposedAt = now + DEPOSITION_NOTICE_MS;
     this.#deadline = this.predecessorDeposedAt + leaseMs;
@@ -55,9 +59,14 @@
     return this.#deadline;
   }
 
-  /** The same for leases that another incarnation has got by a call that it carried out late. */
+  /**
+   * The same for starts without an answer that another incarnation carries out late. Callers' bound for a task
+   * that waits ends it earlier.
+   */
   get lateDeadline(): number {
-    return this.predecessorDeposedAt + LATEST_EXECUTION_MS + this.#maximumLeaseMs;
+    const lateLeaseEnd = this.predecessorDeposedAt + LATEST_EXECUTION_MS + this.#maximumLeaseMs;
+    const waitFrom = Math.max(this.predecessorDeposedAt, this.#arrivals.lastArrivalAt);
+    return Math.min(lateLeaseEnd, waitFrom + MAXIMUM_POOL_WAIT_MS);
   }
 
   /**
@@ -69,16 +78,9 @@
     this.#pending.set(target.id, {
       target: known?.target ?? target,
       leasesExpireAt: Math.max(leasesExpireAt, known?.leasesExpireAt ?? -Infinity),
-      isRegistered: known?.isRegistered ?? false,
     });
   }
 
-  /** Records whether the registry lists an awaited target, so that it is not taken to be gone. */
-  recordRegistered(targetId: string, isRegistered: boolean): void {
-    const known = this.#pending.get(targetId);
-    if (known !== undefined) this.#pending.set(targetId, { ...known, isRegistered });
-  }
-
   /** Finds what earlier terms have recorded of a target that has not reported yet. */
   findExpected(targetId: string): LeasedTarget | undefined {
     return this.#pending.get(targetId)?.target;
@@ -135,13 +137,11 @@
    * may carry out late, this takes longer: it is listed with their tasks alone.
    */
   listPending(now: number): readonly LeasedTarget[] {
-    const goneAt = this.predecessorDeposedAt + MAXIMUM_POOL_WAIT_MS;
-    return [...this.#pending.values()].flatMap(({ target, leasesExpireAt, isRegistered }) => {
+    return [...this.#pending.values()].flatMap(({ target, leasesExpireAt }) => {
       if (now < leasesExpireAt) return [target];
       // Rows of earlier versions do not tell these tasks apart.
       const { tasks = [], unanswered = tasks } = target;
-      const lateStartsEndAt = isRegistered ? this.lateDeadline : goneAt;
-      const isLateStartPossible = unanswered.length > 0 && now < lateStartsEndAt;
+      const isLateStartPossible = unanswered.length > 0 && now < this.lateDeadline;
       return isLateStartPossible ? [{ ...target, tasks: unanswered }] : [];
     });
   }
--- a/packages/execution/src/registry-reader.ts
+++ b/packages/execution/src/registry-reader.ts
@@ -75,7 +75,6 @@
     const { clock, fleet, logger } = this.#context;
     const isRegistered = fleet.find(id)?.isRegistered === true;
     const target = fleet.unregister(id);
-    this.#context.reconciliation.recordRegistered(id, false);
     if (!isRegistered || target === undefined) return;
     target.unregisteredAt = clock.now;
     logger.writeInfo('target unregistered', { target: id });
@@ -98,7 +97,6 @@
     if (isAwaited) {
       target.leasesExpireAt = Math.max(target.leasesExpireAt, leasesExpireAt);
       reconciliation.expectReport({ id, service }, leasesExpireAt);
-      reconciliation.recordRegistered(id, true);
     }
     if (isNew) this.#writeRegistered(target);
   }
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -45,7 +45,7 @@
     const deadline = target.grantLease(leaseMs, now);
     const attempt = buildAttempt(target, run, AttemptPhase.Starting, now);
     attempt.expiresAt = now + leaseMs / MINIMUM_CLOCK_RATE;
-    attempt.arrivesBefore = now + MAXIMUM_CALL_AGE_MS;
+    attempt.sentBefore = now + MAXIMUM_CALL_AGE_MS;
     const assignment = { task, attempt };
     fleet.assign(target, task, attempt);
     this.unansweredStarts.set(assignment, target);
@@ -120,7 +120,7 @@
     if (outcome === StartOutcome.AcceptedLater) this.#recordLaterIncarnation(target);
     if (target.find(task.name, attempt.run) === undefined) return;
     attempt.expectedInReportsAfter = now;
-    if (outcome !== StartOutcome.Unknown) attempt.arrivesBefore = now;
+    if (outcome !== StartOutcome.Unknown) attempt.sentBefore = now;
     const { job } = task.step;
     logger.writeInfo('start answered', {
       request: job.id,
@@ -226,7 +226,7 @@
     phase,
     startedAt: now,
     expiresAt: now,
-    arrivesBefore: now,
+    sentBefore: now,
     hasBegun: phase === AttemptPhase.Running,
     percent: 0,
     readyNotBefore: 0,
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -187,7 +187,7 @@
     return bornAt !== undefined && bornAt < this.entry.bornAt && sentAt <= this.registeredAt;
   }
 
-  /** Whether the target accepts new work, regardless of its free capacity. */
+  /** Whether the target accepts new work, which a fence that is not closed forbids, regardless of its free capacity. */
   isOpen(now: number): boolean {
     return (
       this.isRegistered &&
--- a/packages/execution/src/unlisted-runs.ts
+++ b/packages/execution/src/unlisted-runs.ts
@@ -113,7 +113,7 @@
   attempt: Attempt,
   { sentAt, token }: ListingReport,
 ): boolean {
-  if (!attempt.hasBegun && sentAt < attempt.arrivesBefore) return false;
+  if (!attempt.hasBegun && sentAt < attempt.sentBefore) return false;
   if (attempt.token < token) return true;
   const { stopAnsweredAt, expiresAt } = attempt;
   if (stopAnsweredAt !== undefined && sentAt > stopAnsweredAt) return true;
--- a/packages/execution/test/late-calls.test.ts
+++ b/packages/execution/test/late-calls.test.ts
@@ -338,11 +338,18 @@
     const later = now + 1_000 + LEASE_MS;
     assert.ok(reconciliation.canStartInherited('a', ['kartes'], later));
     assert.equal(reconciliation.canStartInherited('b', ['kartes'], later), false);
-    reconciliation.recordRegistered('t1', true);
-    assert.equal(
-      reconciliation.canStartInherited('b', ['kartes'], reconciliation.lateDeadline - 1),
-      false,
-    );
-    assert.ok(reconciliation.canStartInherited('b', ['kartes'], reconciliation.lateDeadline));
+    const endsAt = reconciliation.predecessorDeposedAt + MAXIMUM_POOL_WAIT_MS;
+    assert.equal(reconciliation.canStartInherited('b', ['kartes'], endsAt - 1), false);
+    assert.ok(reconciliation.canStartInherited('b', ['kartes'], endsAt));
+  });
+
+  it('awaits it until no call of the past can be carried out, as long as submissions arrive', () => {
+    const harness = new TermHarness({ predecessor: PREDECESSOR });
+    const { arrivals, reconciliation } = harness.context;
+    reconciliation.expectReport({ id: 't1', service: 'kartes', tasks: ['b'] });
+    arrivals.record('kartes', harness.addJob('00000000000000a1', [{}]), harness.now + 20_000);
+    const endsAt = reconciliation.predecessorDeposedAt + LATEST_EXECUTION_MS + MAXIMUM_LEASE_MS;
+    assert.equal(reconciliation.canStartInherited('b', ['kartes'], endsAt - 1), false);
+    assert.ok(reconciliation.canStartInherited('b', ['kartes'], endsAt));
   });
 });
--- a/packages/execution/test/reconciliation.test.ts
+++ b/packages/execution/test/reconciliation.test.ts
@@ -7,10 +7,12 @@
 const LEASE_MS = 4_000;
 
 function createReconciliation(targets: readonly LeasedTarget[]): Reconciliation {
-  const reconciliation = new Reconciliation(
-    { leaseMs: LEASE_MS, maximumLeaseMs: MAXIMUM_LEASE_MS },
-    0,
-  );
+  const reconciliation = new Reconciliation({
+    leaseMs: LEASE_MS,
+    maximumLeaseMs: MAXIMUM_LEASE_MS,
+    now: 0,
+    arrivals: { lastArrivalAt: -Infinity },
+  });
   for (const target of targets) reconciliation.expectReport(target);
   return reconciliation;
 }
--- a/packages/execution/test/term-harness.ts
+++ b/packages/execution/test/term-harness.ts
@@ -216,10 +216,13 @@
     const { store, clock, fleet } = this;
     const active = new Map<string, JobRecord>();
     const durations = new DurationModel();
-    const reconciliation = new Reconciliation(
-      { leaseMs: LEASE_MS, maximumLeaseMs: MAXIMUM_LEASE_MS },
-      clock.now,
-    );
+    const arrivals = new PoolArrivals(durations);
+    const reconciliation = new Reconciliation({
+      leaseMs: LEASE_MS,
+      maximumLeaseMs: MAXIMUM_LEASE_MS,
+      now: clock.now,
+      arrivals,
+    });
     const writer = new FencedWriter({
       store,
       term,
@@ -245,7 +248,7 @@
       partitionGuard: new PartitionGuard(this.fleet, this.clock, () => this.hasValidLease),
       jobs: new JobIndex(logger),
       active,
-      arrivals: new PoolArrivals(durations),
+      arrivals,
       writer,
       leasePolicy: new LeasePolicy(LEASE_MS),
       ledger: new Ledger(writer, (job) => this.endedJobs.push(job)),
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -32,7 +32,7 @@
    */
   expiresAt: number;
   /** Time from which no node sends the start any more. */
-  arrivesBefore: number;
+  sentBefore: number;
   /** Whether a target has accepted the start, or listed the run. */
   hasBegun: boolean;
   /** Progress in percent; 100 for a persistent task that is in service. */
