feat(spec): a specification of the incarnation fence

Change: one owner, a target that restarts under its id up to twice, and another target. Starts and renewals are answered, or carried out later by any incarnation, or never; reports may arrive late. Never are two runs of the task in progress. Five rules or assumptions are left out in turn, and each must be found. What remains: it assumes that no start is carried out by a later incarnation than the one whose answer frees its task. carry-out-freed-start shows that one restart is enough for a second run: the answer to a raised token frees the task, the target crashes, and its next incarnation carries the old start out. An answered stop and the expiry of the start do the same without a raise. Not covered: restarts within a step, by which a start cannot tell the incarnations' clocks apart, several owners, clock rates, and ids that change at an address.

--- a/packages/spec/src/plan.ts
+++ b/packages/spec/src/plan.ts
@@ -2,6 +2,8 @@
 import type { Specification, Step } from './explore.ts';
 import { FreshnessSpecification } from './freshness-spec.ts';
 import { FreshnessFault, type FreshnessBounds } from './freshness-state.ts';
+import { IncarnationSpecification } from './incarnation-spec.ts';
+import { IncarnationFault, type IncarnationBounds } from './incarnation-state.ts';
 import { PermitSpecification } from './permit-spec.ts';
 import { PermitFault, type PermitBounds } from './permit-state.ts';
 import { TakeoverSpecification } from './takeover-spec.ts';
@@ -44,15 +46,39 @@
   transfers: 1,
 };
 
+const SEEDED_INCARNATION_BOUNDS: IncarnationBounds = {
+  latestExecution: 2,
+  shortExecution: 0,
+  lease: 1,
+  maximumLease: 2,
+  restarts: 1,
+  runs: 1,
+  raises: 1,
+  calls: 1,
+  answerDelay: 1,
+};
+const INCARNATION_BOUNDS: readonly IncarnationBounds[] = [
+  SEEDED_INCARNATION_BOUNDS,
+  { ...SEEDED_INCARNATION_BOUNDS, calls: 2, runs: 2, answerDelay: 0 },
+  { ...SEEDED_INCARNATION_BOUNDS, restarts: 2, raises: 2, latestExecution: 1, answerDelay: 0 },
+];
+const DEEP_INCARNATION_BOUNDS: readonly IncarnationBounds[] = [
+  { ...SEEDED_INCARNATION_BOUNDS, calls: 2, runs: 2 },
+  { ...SEEDED_INCARNATION_BOUNDS, calls: 2, runs: 2, latestExecution: 3, answerDelay: 0 },
+  { ...SEEDED_INCARNATION_BOUNDS, restarts: 2, raises: 2, runs: 2, answerDelay: 0 },
+];
+
 /** Lists the explorations of a run; `isDeep` adds the larger bounds. */
 export function listChecks(isDeep: boolean): Check[] {
   const freshness = [...FRESHNESS_BOUNDS, ...(isDeep ? DEEP_FRESHNESS_BOUNDS : [])];
+  const incarnations = [...INCARNATION_BOUNDS, ...(isDeep ? DEEP_INCARNATION_BOUNDS : [])];
   const permits = [...PERMIT_BOUNDS, ...(isDeep ? DEEP_PERMIT_BOUNDS : [])];
   return [
     ...freshness.map((bounds) => createFreshnessCheck(bounds, FreshnessFault.None)),
     ...permits.map((bounds) => createPermitCheck(bounds, PermitFault.None)),
     ...Object.values(TakeoverFault).map(createTakeoverCheck),
     ...Object.values(CopyFault).map(createCopyCheck),
+    ...incarnations.map((bounds) => createIncarnationCheck(bounds, IncarnationFault.None)),
     ...listSeededChecks(),
   ];
 }
@@ -68,6 +94,9 @@
         const isLowering = fault === PermitFault.StartDuringLowering;
         return createPermitCheck(isLowering ? SEEDED_LOWERING_BOUNDS : SEEDED_PERMIT_BOUNDS, fault);
       }),
+    ...Object.values(IncarnationFault)
+      .filter((fault) => fault !== IncarnationFault.None)
+      .map((fault) => createIncarnationCheck(SEEDED_INCARNATION_BOUNDS, fault)),
   ];
 }
 
@@ -95,6 +124,14 @@
   };
 }
 
+function createIncarnationCheck(bounds: IncarnationBounds, fault: IncarnationFault): Check {
+  return {
+    specification: new IncarnationSpecification(bounds, fault),
+    bounds: JSON.stringify(bounds),
+    hasSeededFault: fault !== IncarnationFault.None,
+  };
+}
+
 function createPermitCheck(bounds: PermitBounds, fault: PermitFault): Check {
   return {
     specification: new PermitSpecification(bounds, fault),
