test(soak): targets that crash, carry out late calls and are cut off, also after a long life

A plan can now crash the target with the most runs, in series and beside other failures: it is back under its id, carries out the calls of that time up to 5 s later, and is cut off from the nodes soon after.

Every fourth seed, but for the large ones, has two targets that are up for 15 s before the first submission, tasks of 8 to 18 s, and cuts of 8 to 15 s, so that tasks start elsewhere meanwhile; its submissions have the time of one such task in addition to the 15 s to end. A quarter of the seeds has such a crash of young targets.

--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -23,6 +23,7 @@
   );
   if (plan.bytesPerSecond !== Infinity) failures.unshift('narrow links');
   if (plan.targetsOpenAtMs > 0) failures.unshift('late targets');
+  if (plan.targetAgeMs > 0) failures.unshift('old targets');
   const verdict = violations.length === 0 ? 'passed' : 'FAILED';
   process.stdout.write(
     `seed ${seed}: ${verdict}, ${acceptedCount} accepted, ${plan.nodes} nodes; ${failures.join(', ')}\n`,
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -1,5 +1,5 @@
 import { Random } from '@currantgap/model';
-import { StandinTargetFailure, StoreFailure } from '@currantgap/standins';
+import { StandinTargetFailure, StoreFailure, type TargetCrash } from '@currantgap/standins';
 
 /** Failures that the soak injects into a node. */
 export enum NodeFailure {
@@ -19,6 +19,15 @@
   Hangup = 'hangup',
 }
 
+/** Ways in which a target comes back under its id. */
+export enum TargetReturn {
+  /**
+   * The target with the most runs crashes without a sign, carries out calls of that time after its
+   * return, and is cut off from the nodes soon after the return.
+   */
+  LateCalls = 'crash and cut',
+}
+
 /** Changes that are no failures. */
 export enum PlannedChange {
   /** A new configuration adds a route and a key, and removes older ones. */
@@ -50,8 +59,24 @@
     }
   | { readonly component: 'store'; readonly kind: StoreFailure }
   | { readonly component: 'target'; readonly kind: StandinTargetFailure; readonly index: number }
+  | {
+      readonly component: 'target';
+      readonly kind: TargetReturn;
+      readonly crash: TargetCrash;
+      /** Milliseconds from the return until the target is cut off, for the duration. */
+      readonly cutAfterMs: number;
+    }
 );
 
+/** Bounds of the tasks of a soak. */
+export interface TaskBounds {
+  readonly minimumMs: number;
+  readonly maximumMs: number;
+  /** CPU demand of each task in thousandths of a core. */
+  readonly cpuMillis: number;
+  readonly maximumSteps: number;
+}
+
 /** Deployment size, load and injected failures for one seed. */
 export interface SoakPlan {
   readonly seed: number;
@@ -63,6 +88,11 @@
   readonly bytesPerSecond: number;
   /** Milliseconds from the first submission until the targets register, so that work piles up. */
   readonly targetsOpenAtMs: number;
+  /** Milliseconds for which the targets are up before the first submission. */
+  readonly targetAgeMs: number;
+  readonly tasks: TaskBounds;
+  /** Milliseconds after the last failure within which every accepted submission must end. */
+  readonly completionTimeoutMs: number;
   readonly failures: readonly InjectedFailure[];
 }
 
@@ -78,6 +108,21 @@
 const LATE_TARGETS_SHARE = 0.3;
 const MINIMUM_TARGETS = 2;
 const MAXIMUM_TARGETS = 5;
+/** One seed in this many has targets that are up for long, so that deadlines on their clocks are large. */
+const OLD_TARGETS_SEED_INTERVAL = 4;
+const OLD_TARGETS_AGE_MS = 15_000;
+const SHORT_TASKS = { minimumMs: 50, maximumMs: 700, cpuMillis: 1_000, maximumSteps: 2 };
+/** Tasks that outlast the longest lease, and fit on one target together. */
+const LONG_TASKS = { minimumMs: 8_000, maximumMs: 18_000, cpuMillis: 40, maximumSteps: 1 };
+const COMPLETION_TIMEOUT_MS = 15_000;
+/** Remainder, by that interval, of the seeds in which a target returns with late calls while it is young. */
+const YOUNG_RETURN_SEED_REMAINDER = 3;
+const MAXIMUM_CALL_DELAY_MS = 5_000;
+const MAXIMUM_CUT_AFTER_MS = 5_000;
+const MAXIMUM_CUT_MS = 3_000;
+/** Around the longest lease, so that tasks start elsewhere while the target is cut off. */
+const MINIMUM_LONG_CUT_MS = 8_000;
+const MAXIMUM_LONG_CUT_MS = 15_000;
 const MINIMUM_FAILURES = 2;
 const MAXIMUM_FAILURES = 6;
 const MINIMUM_FAILURE_MS = 150;
@@ -101,7 +146,11 @@
 /** Draws the plan for a seed; the same seed always gives the same plan. */
 export function drawPlan(seed: number): SoakPlan {
   const random = new Random(seed);
-  const targets = drawBetween(random, MINIMUM_TARGETS, MAXIMUM_TARGETS);
+  const isLarge = seed % LARGE_SEED_INTERVAL === 0;
+  const hasOldTargets = seed % OLD_TARGETS_SEED_INTERVAL === 0 && !isLarge;
+  const drawnTargets = drawBetween(random, MINIMUM_TARGETS, MAXIMUM_TARGETS);
+  // With few targets, work goes to a target that is back soon.
+  const targets = hasOldTargets ? MINIMUM_TARGETS : drawnTargets;
   const count = drawBetween(random, MINIMUM_FAILURES, MAXIMUM_FAILURES);
   const failures: InjectedFailure[] = [];
   let earliestStartMs = 0;
@@ -116,17 +165,44 @@
     earliestStartMs =
       random.drawFraction() < OVERLAP_SHARE ? startOffsetMs : startOffsetMs + durationMs;
   }
-  const isLarge = seed % LARGE_SEED_INTERVAL === 0;
   const isNarrow = random.drawFraction() < NARROW_SHARE && !isLarge;
-  return {
+  const tasks = hasOldTargets ? LONG_TASKS : SHORT_TASKS;
+  const plan = {
     seed,
     nodes: isLarge ? LARGE_NODES : drawBetween(random, MINIMUM_NODES, MAXIMUM_NODES),
     targets,
     submissionPeriodMs: SUBMISSION_PERIOD_MS,
     bytesPerSecond: isNarrow ? NARROW_BYTES_PER_SECOND : Infinity,
-    targetsOpenAtMs: random.drawFraction() < LATE_TARGETS_SHARE ? SUBMISSION_PERIOD_MS : 0,
+    targetsOpenAtMs:
+      random.drawFraction() < LATE_TARGETS_SHARE && !hasOldTargets ? SUBMISSION_PERIOD_MS : 0,
+    targetAgeMs: hasOldTargets ? OLD_TARGETS_AGE_MS : 0,
+    tasks,
+    completionTimeoutMs: COMPLETION_TIMEOUT_MS + (hasOldTargets ? tasks.maximumMs : 0),
     failures,
   };
+  const hasReturn =
+    hasOldTargets || seed % OLD_TARGETS_SEED_INTERVAL === YOUNG_RETURN_SEED_REMAINDER;
+  // Drawn last, so that the other draws of a seed stay as they are.
+  return hasReturn ? { ...plan, failures: [...failures, drawReturn(random, plan)] } : plan;
+}
+
+function drawReturn(random: Random, { targetsOpenAtMs, targetAgeMs }: SoakPlan): InjectedFailure {
+  const isLong = targetAgeMs > 0;
+  const drawDelayMs = (): number => random.drawInteger(MAXIMUM_CALL_DELAY_MS);
+  return {
+    component: 'target',
+    kind: TargetReturn.LateCalls,
+    startOffsetMs: targetsOpenAtMs + random.drawInteger(SUBMISSION_PERIOD_MS / 2),
+    durationMs: isLong
+      ? drawBetween(random, MINIMUM_LONG_CUT_MS, MAXIMUM_LONG_CUT_MS)
+      : drawBetween(random, MINIMUM_FAILURE_MS, MAXIMUM_CUT_MS),
+    repeats: drawBetween(random, 1, MAXIMUM_REPEATS),
+    crash: {
+      downMs: drawBetween(random, MINIMUM_FAILURE_MS, MAXIMUM_FAILURE_MS),
+      callDelaysMs: [drawDelayMs(), drawDelayMs()],
+    },
+    cutAfterMs: random.drawInteger(MAXIMUM_CUT_AFTER_MS),
+  };
 }
 
 type FailureVariant = InjectedFailure extends infer T
