--- a/packages/execution/src/call-timing.ts
+++ b/packages/execution/src/call-timing.ts
@@ -10,8 +10,8 @@
 /** Milliseconds by which a target may delay its answer to a renewal at most. */
 export const MAXIMUM_POLL_MS = 750;
 /**
- * Milliseconds by which a target carries out a call late at most, as the operators' list of
- * disruptions states it; the protocol says seconds. Neither a reset connection nor a restart of the target prevents that.
+ * Milliseconds by which a target carries out a call late at most, as the operators' list of disruptions
+ * states it; the protocol says seconds. Neither a reset connection nor a restart of the target prevents that.
  */
 export const MAXIMUM_EXECUTION_DELAY_MS = 12_000;
 /** Milliseconds after an order was given from which no incarnation carries it out any more. */
--- a/packages/execution/src/late-starts.ts
+++ b/packages/execution/src/late-starts.ts
@@ -23,7 +23,7 @@
   /**
    * Whether a start that a silent target has not answered keeps its task no longer. It can begin no run any
    * more, and one that it has begun is over: another incarnation that carries it out holds the lease of
-   * any call of the past. Callers' bounds for a task that waits end this earlier.
+   * any call of the past. Callers' bounds for a task that waits may end that time earlier.
    */
   isOver(target: TargetRecord, { task, attempt }: Assignment): boolean {
     const { clock, fleet } = this.#context;
