--- a/packages/execution/src/late-starts.ts
+++ b/packages/execution/src/late-starts.ts
@@ -76,7 +76,7 @@
     return (target?.reportedAt ?? -Infinity) > executedBefore + latestRequestMs;
   }
 
-  /** Whether callers expect the task to run, whatever may have become of its start. */
+  /** Whether the task must wait no longer, whatever may have become of its start: callers expect it to run. */
   #isWaitOver(startedAt: number): boolean {
     const { arrivals, clock } = this.#context;
     return clock.now > Math.max(startedAt, arrivals.lastArrivalAt) + MAXIMUM_WAIT_MS;
