test(review): a start runs again in the next life of its executor

Rule TWICE: a start that was left unanswered and stopped is carried out by the executor's next life, after the task was done, noted and shown as completed.

--- a/review/standins-3/executor.js
+++ b/review/standins-3/executor.js
@@ -14,8 +14,9 @@
 export class StandinExecutor {
   id;
   #options;
-  #startedAt = performance.now();
-  #born = Date.now();
+  #startedAt;
+  #born;
+  #isUp = false;
   #sequence = 0;
   #highestToken = 0;
   #leaseEndsAt = 0;
@@ -24,9 +25,17 @@
   #finished = [];
   /** Times of the record at which runs began, by task. */
   #begun = new Map();
+  /** Times of the record at which the system took note of `done` ends, by task. */
+  #noted = new Map();
   #ends = 0;
   #waiting = new Set();
   #timers = [];
+  #removalTimer;
+  /**
+   * Decides what becomes of a call before it is carried out: undefined for the usual, or a function that is
+   * called in its place. The call gets no answer then.
+   */
+  intercept = () => undefined;
   #server;
   #address;
 
@@ -45,21 +54,51 @@
     );
     this.#server = server;
     this.#address = address;
-    this.#register();
+    this.#beginLife();
     this.#timers.push(setInterval(() => this.#register(), HEARTBEAT_MS));
     this.#timers.push(setInterval(() => this.#checkLease(), LEASE_CHECK_MS));
   }
 
   close() {
     for (const timer of this.#timers) clearInterval(timer);
+    clearTimeout(this.#removalTimer);
     for (const { timer } of this.#running.values()) clearTimeout(timer);
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
+  /**
+   * Falls silent, loses all runs and all state, and comes back under its id after `downMs`; never for
+   * Infinity. Its entry expires after three missed heartbeats.
+   */
+  crash(downMs) {
+    const { record, store } = this.#options;
+    record.write('executor crashes', { executor: this.id, downMs });
+    this.#isUp = false;
+    for (const [task, { run, timer }] of this.#running) {
+      clearTimeout(timer);
+      record.write('run ends', { task, run, executor: this.id, how: 'crashed' });
+    }
+    this.#removalTimer = setTimeout(() => store.remove('servers', this.id), 3 * HEARTBEAT_MS);
+    if (downMs === Infinity) return;
+    setTimeout(() => {
+      this.#beginLife();
+      record.write('executor is back', { executor: this.id });
+    }, downMs);
+  }
+
+  /** Carries out a start that was sent before, without an answer. */
+  startLate(body) {
+    const reason = this.#isUp ? this.#carryOut('/api/run-start', body) : 'down';
+    const { task, run } = body;
+    this.#options.record.write('late start', { task, run, executor: this.id, reason });
+  }
+
   /** Whether a task of a submission runs. */
   isRunning(submissionId) {
-    return [...this.#running.keys()].some((task) => task.startsWith(`${submissionId}.`));
+    return (
+      this.#isUp && [...this.#running.keys()].some((task) => task.startsWith(`${submissionId}.`))
+    );
   }
 
   /** Whether a task of a submission has begun here. */
@@ -73,11 +112,36 @@
     return starts.map(([, at]) => at);
   }
 
+  /** Gets the time of the record at which the system took note that a task was done here. */
+  getNotedAt(task) {
+    return this.#noted.get(task);
+  }
+
+  /** Gets the time of the record at which a task began here last. */
+  getBegunAt(task) {
+    return this.#begun.get(task);
+  }
+
   get #clockMs() {
     return Math.round(performance.now() - this.#startedAt);
   }
 
+  #beginLife() {
+    clearTimeout(this.#removalTimer);
+    this.#startedAt = performance.now();
+    this.#born = Date.now();
+    this.#highestToken = 0;
+    this.#leaseEndsAt = 0;
+    this.#running = new Map();
+    this.#highestRuns = new Map();
+    this.#finished = [];
+    this.#ends = 0;
+    this.#isUp = true;
+    this.#register();
+  }
+
   #register() {
+    if (!this.#isUp) return;
     const { service, zone, rack, store } = this.#options;
     this.#sequence += 1;
     store.put('servers', this.id, {
@@ -97,39 +161,39 @@
 
   async #handle(incoming, response) {
     const body = JSON.parse(await readText(incoming));
+    const instead = this.#isUp ? this.intercept(incoming.url, body) : undefined;
+    instead?.();
+    // A machine that is down does not respond.
+    if (!this.#isUp || instead !== undefined) return;
+    const born = this.#born;
     const describe = () => ({ clock_ms: this.#clockMs, born: this.#born });
     if (incoming.headers['x-target-instance'] !== this.id) {
       sendJson(response, 421, describe());
       return;
     }
-    const token = body.fencing_token ?? 0;
-    const refuse = (reason) => sendJson(response, 409, { ...describe(), reason });
-    if (token < this.#highestToken) {
-      refuse('fence');
+    const reason = this.#carryOut(incoming.url, body);
+    if (reason !== undefined) {
+      sendJson(response, 409, { ...describe(), reason });
       return;
     }
-    this.#highestToken = token;
-    switch (incoming.url) {
-      case '/api/run-start': {
-        const reason = this.#start(body);
-        if (reason !== undefined) refuse(reason);
-        else sendJson(response, 200, describe());
-        return;
-      }
-      case '/api/run-stop':
-        this.#stop(body);
-        break;
-      case '/api/hold':
-        await this.#hold(body);
-        sendJson(response, 200, { ...describe(), ...this.#report() });
-        return;
-      case '/api/pace':
-        break;
-      default:
-        sendJson(response, 404, {});
-        return;
+    if (incoming.url !== '/api/hold') {
+      sendJson(response, 200, describe());
+      return;
     }
-    sendJson(response, 200, describe());
+    await this.#waitForEnd(body.wait_ms ?? 0);
+    if (this.#isUp && this.#born === born)
+      sendJson(response, 200, { ...describe(), ...this.#report() });
+  }
+
+  /** Carries out a call; returns the reason if it is refused. */
+  #carryOut(path, body) {
+    const token = body.fencing_token ?? 0;
+    if (token < this.#highestToken) return 'fence';
+    this.#highestToken = token;
+    if (path === '/api/run-start') return this.#start(body);
+    if (path === '/api/run-stop') this.#stop(body);
+    else if (path === '/api/hold') this.#hold(body);
+    return undefined;
   }
 
   #start({ task, run, spec, deadline_ms: deadline, ticket }) {
@@ -156,9 +220,17 @@
     if (this.#running.get(task)?.run === run) setTimeout(() => this.#end(task, 'stopped'), STOP_MS);
   }
 
-  async #hold({ acked_through: acked = 0, deadline_ms: deadline, wait_ms: waitMs = 0 }) {
+  #hold({ acked_through: acked = 0, deadline_ms: deadline }) {
+    for (const [number, task, run, how] of this.#finished) {
+      if (number > acked) continue;
+      this.#options.record.write('end noted', { task, run, executor: this.id, how });
+      if (how === 'done') this.#noted.set(task, this.#options.record.now);
+    }
     this.#finished = this.#finished.filter(([number]) => number > acked);
     if (deadline !== undefined) this.#extendLease(deadline);
+  }
+
+  async #waitForEnd(waitMs) {
     if (this.#finished.length > 0 || waitMs <= 0) return;
     await new Promise((resolve) => {
       const timer = setTimeout(resolve, Math.min(waitMs, LONGEST_WAIT_MS));
@@ -180,7 +252,7 @@
   }
 
   #checkLease() {
-    if (this.#clockMs <= this.#leaseEndsAt) return;
+    if (!this.#isUp || this.#clockMs <= this.#leaseEndsAt) return;
     for (const task of [...this.#running.keys()]) this.#end(task, 'lapsed');
   }
 
