fix(execution): the next incarnation of a target is fenced off as soon as it is up

Cause: a new incarnation has seen no fencing token, and the first call of the owner that brings it one was sent up to a second after its return. Its registry row sent nothing while a renewal to the former incarnation was in flight; a silent target was asked when an earlier call had timed out. Class: a bound that waits for a timeout where an event is known.

Why it works: the registry's row raises the token and sends a renewal at once, without waiting for the former one. While a target is silent that has left a start unanswered within 14 s, it is asked for a report each 10 ms with a raised token, at most 200 times a second in all. A new owner does so for all targets in its first 14 s.

--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -66,14 +66,14 @@
       if (former !== undefined) {
         created.bornAt = former.bornAt;
         created.leaseGrantedAt = former.leaseGrantedAt;
-        created.fence.doubt();
+        created.fence.open();
       }
       this.#targets.set(entry.id, created);
       this.#addToVm(created);
       return created;
     }
     const hasRestarted = known.entry.bornAt !== entry.bornAt && known.bornAt !== entry.bornAt;
-    if (hasRestarted) known.fence.doubt();
+    if (hasRestarted) known.recordRegisteredRestart();
     this.#removeFromVm(known);
     known.entry = entry;
     known.isRegistered = true;
--- a/packages/execution/src/lease-renewer.ts
+++ b/packages/execution/src/lease-renewer.ts
@@ -3,6 +3,7 @@
 import { MAXIMUM_POLL_MS } from './call-timing.ts';
 import type { OwnerContext } from './context.ts';
 import { EndAcknowledger } from './end-acknowledger.ts';
+import type { LeaseRenewalFault } from './ports.ts';
 import type { TargetRecord } from './target-record.ts';
 
 /**
@@ -102,14 +103,27 @@
 
   /** Requests a report immediately, in addition to the renewal that is in flight. */
   requestReport(target: TargetRecord): void {
+    void this.#request(target);
+  }
+
+  /**
+   * Requests a report of a target that is probably down, and gives the call up after `timeoutMs`; resolves with
+   * the reason if there is none.
+   */
+  async probe(target: TargetRecord, timeoutMs: number): Promise<LeaseRenewalFault | undefined> {
+    return this.#request(target, timeoutMs);
+  }
+
+  async #request(target: TargetRecord, timeoutMs?: number): Promise<LeaseRenewalFault | undefined> {
     const { clock, post, targetPort } = this.#context;
     const sentAt = clock.now;
     const knownBornAt = target.bornAt;
     const token = this.#takeToken(target);
-    const order = { token, acknowledgedThrough: 0, deadline: undefined, waitMs: 0 };
-    void targetPort.renewLeases(target.address, order).then((report) => {
-      post({ kind: 'looked', target, sentAt, knownBornAt, token, report });
-    });
+    const order = { token, acknowledgedThrough: 0, deadline: undefined, waitMs: 0, timeoutMs };
+    const report = await targetPort.renewLeases(target.address, order);
+    if (report.isErr()) return report.error;
+    post({ kind: 'looked', target, sentAt, knownBornAt, token, report });
+    return undefined;
   }
 
   /** Takes the token of a request for a report: a higher one than before if the target's fence is open. */
@@ -167,6 +181,7 @@
     const isNeeded =
       target.assignmentCount > 0 ||
       target.endPresumedAt !== undefined ||
+      now < target.lateCallsUntil ||
       reconciliation.isPartlyReported(target.id);
     if (!target.isRegistered && !isNeeded) {
       fleet.forget(target);
--- a/packages/execution/src/messages.ts
+++ b/packages/execution/src/messages.ts
@@ -62,6 +62,8 @@
     }
   /** The ledger is stored up to and including a change. */
   | { readonly kind: 'written'; readonly changeNumber: number }
+  /** Probes the silent targets whose next incarnations must be fenced off. */
+  | { readonly kind: 'probe' }
   /** Places the waiting tasks. */
   | { readonly kind: 'plan' }
   /** Runs the periodic work. */
--- a/packages/execution/src/owner.ts
+++ b/packages/execution/src/owner.ts
@@ -4,6 +4,7 @@
 import { Task } from '@currantgap/tasks';
 import { AdmissionPublisher } from './admission-publisher.ts';
 import { AdviceCache } from './advice-cache.ts';
+import { FenceProber } from './fence-prober.ts';
 import { JobPurger } from './job-purger.ts';
 import { buildContext } from './build-context.ts';
 import type { OwnerContext } from './context.ts';
@@ -59,6 +60,7 @@
   readonly #registry: RegistryReader;
   readonly #planner: Planner;
   readonly #startWatch: StartWatch;
+  readonly #fenceProber: FenceProber;
   readonly #runExpiry: RunExpiry;
   readonly #advice: AdviceCache;
   readonly #archiver: JobArchiver;
@@ -103,6 +105,7 @@
       this.#leaseRenewer.recordUnanswered();
       this.#leaseRenewer.requestReport(target);
     });
+    this.#fenceProber = new FenceProber(this.#context, this.#leaseRenewer);
     this.#durationStore = new DurationStore(this.#context, options.store, options.pageSizer);
     this.#sweepers = [
       this.#advice,
@@ -130,7 +133,14 @@
       reportProcessor: this.#reportProcessor,
       archiver: this.#archiver,
     });
-    this.#vmManager = this.#buildVmManager();
+    if (options.vmPort !== undefined)
+      this.#vmManager = new VmManager({
+        ...options,
+        context: this.#context,
+        orders: this.#orders,
+        reportProcessor: this.#reportProcessor,
+        port: options.vmPort,
+      });
     this.#feeds = new TermFeeds({
       context: this.#context,
       store: options.store,
@@ -170,6 +180,7 @@
     if (this.#isClosed) return;
     this.#isClosed = true;
     clearInterval(this.#ticker);
+    this.#fenceProber.stop();
     this.#feeds.close();
     this.#durationStore.stop();
     this.#context.writer.stop();
@@ -262,6 +273,9 @@
         this.#orders.applyStopOutcome(message);
         if (isUncertain(message.assignment)) this.#leaseRenewer.requestReport(message.target);
         break;
+      case 'probe':
+        this.#fenceProber.sweep();
+        return;
       case 'written':
         this.#leaseRenewer.recordWritten(message.changeNumber);
         return;
@@ -294,20 +308,6 @@
     });
   }
 
-  #buildVmManager(): VmManager | undefined {
-    const { vmPort, hasFreshLease, store, encodeWaveStatus } = this.#options;
-    if (vmPort === undefined) return undefined;
-    return new VmManager({
-      context: this.#context,
-      orders: this.#orders,
-      reportProcessor: this.#reportProcessor,
-      store,
-      port: vmPort,
-      hasFreshLease,
-      encodeWaveStatus,
-    });
-  }
-
   #loadProgress(getRows: (table: string) => readonly JoinedRow[]): void {
     const { jobs, reconciliation, roster, routeHistory, term } = this.#context;
     for (const target of term.predecessor?.targets ?? []) reconciliation.expectReport(target);
@@ -333,6 +333,7 @@
     this.#context.roster.sweep();
     this.#leaseRenewer.sendDue();
     this.#startWatch.sweep();
+    this.#fenceProber.sweep();
     if (this.#isHandingOver) return;
     this.#vmManager?.sweep();
     for (const sweeper of this.#sweepers) sweeper.sweep();
--- a/packages/execution/src/ports.ts
+++ b/packages/execution/src/ports.ts
@@ -131,6 +131,8 @@
   readonly deadline: number | undefined;
   /** Milliseconds for which the target may delay its answer until a run ends (long polling). */
   readonly waitMs: number;
+  /** Milliseconds after which the call is given up; `CALL_TIMEOUT_MS` more than `waitMs` if undefined. */
+  readonly timeoutMs?: number | undefined;
 }
 
 /** Reason why a lease renewal returned no report. */
--- a/packages/execution/src/registry-reader.ts
+++ b/packages/execution/src/registry-reader.ts
@@ -87,7 +87,7 @@
 
   /** Registers a target; one that a snapshot contains may have runs of an earlier term. */
   #register(entry: TargetEntry, isSnapshot: boolean): void {
-    const { fleet, reconciliation } = this.#context;
+    const { fleet, reconciliation, term } = this.#context;
     const { id, service, vm, bornAt } = entry;
     this.#recordEntry(entry);
     const isNew = fleet.find(id) === undefined;
@@ -100,6 +100,9 @@
     // A snapshot also repeats entries whose heartbeats were written long before.
     if (!isSnapshot) target.heartbeatAt = this.#context.clock.now;
     if (isNew) target.closedBornAt = this.#findClosedIncarnation(target);
+    // Starts that the predecessor sent and that were left unanswered are not known.
+    if (isNew && term.predecessor !== undefined)
+      target.expectLateCall(reconciliation.predecessorDeposedAt);
     if (isAwaited) {
       target.leasesExpireAt = Math.max(target.leasesExpireAt, leasesExpireAt);
       reconciliation.expectReport({ id, service, vm, bornAt }, leasesExpireAt);
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -141,6 +141,7 @@
         return;
       case StartOutcome.Abandoned:
       case StartOutcome.Unknown:
+        target.expectLateCall(attempt.startedAt);
         if (!isWithdrawn) target.unansweredCalls += 1;
         if (attempt.phase === AttemptPhase.Starting) attempt.phase = AttemptPhase.Uncertain;
         return;
--- a/packages/execution/src/start-watch.ts
+++ b/packages/execution/src/start-watch.ts
@@ -59,6 +59,7 @@
   #recordDoubt({ task, attempt }: Assignment, target: TargetRecord, limitMs: number): void {
     const { clock, logger } = this.#context;
     attempt.phase = AttemptPhase.Uncertain;
+    target.expectLateCall(attempt.startedAt);
     logger.writeInfo('start overdue', {
       request: task.step.job.id,
       task: task.name,
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -74,6 +74,8 @@
   blockedUntil = 0;
   /** Whether the target's VM is being emptied for maintenance or a move, so it gets no new work. */
   isCordoned = false;
+  /** Time until which the target, or its next incarnation, may carry out a start that was left unanswered. */
+  lateCallsUntil = -Infinity;
   /** Time after which all leases granted so far have expired. */
   leasesExpireAt: number;
   /** Time after which all leases have expired that this owner has granted, on the incarnation that it knew. */
@@ -189,6 +191,19 @@
     return bornAt !== undefined && bornAt < this.entry.bornAt && sentAt <= this.registeredAt;
   }
 
+  /** Records that the registry shows an incarnation that has seen no token: a renewal sent before is not awaited. */
+  recordRegisteredRestart(): void {
+    this.fence.open();
+    this.isRenewalInFlight = false;
+    this.renewNotBefore = 0;
+    this.retryAcknowledgementAt = 0;
+  }
+
+  /** Records that a start which was sent at a time got no answer. */
+  expectLateCall(startedAt: number): void {
+    this.lateCallsUntil = Math.max(this.lateCallsUntil, startedAt + LATEST_EXECUTION_MS);
+  }
+
   /** Whether the target accepts new work, which a fence that is not closed forbids, regardless of its free capacity. */
   isOpen(now: number): boolean {
     return (
