fix(jobs,execution): what a job costs an owner follows what runs, not what was handed in

Each owner ended by its heap limit, and no DELETE was read.

Cause: the bound of open occurrences did not hold for lasting tasks; each task was an object from the start, and plans, load reports and rows walked over all. Class: the cost of what a client hands in is bounded neither by its bytes nor by what can run.

Evidence: a job built by hand opened 50,000 of 50,000 due occurrences.

Why it works: a schedule of lasting tasks opens occurrences while fewer than 1,000 of its tasks wait, up to 17,500 tasks. A schedule that needs more is refused (413) before it is stored, as a step with more was. A task has a record once something is known of it; waiting tasks and runs on a target are counted as runs come and go. Starts and stops without an answer are bounded. Tasks of earlier terms are looked up by name.

One test that pushed a run into a task's list adds it by the new method.

--- a/packages/execution/src/awaited-target.ts
+++ b/packages/execution/src/awaited-target.ts
@@ -84,10 +84,10 @@
   }
 
   /**
-   * Whether a persistent task waits for the target no longer: it is gone, and so are the leases that it was
-   * granted.
+   * Whether a persistent task, or any one of whose start is not known if there is no name, waits for the target no
+   * longer: it is gone, and so are the leases that it was granted.
    */
-  isOutageOver(task: string, now: number): boolean {
+  isOutageOver(now: number, task = ''): boolean {
     if (this.#absentSince === undefined) return false;
     const outageEndsAt = (this.#startedAt.get(task) ?? -Infinity) + MAXIMUM_OUTAGE_MS;
     const goneAt = this.#absentSince + REGISTRATION_RETURN_MS;
--- a/packages/execution/src/duration-recorder.ts
+++ b/packages/execution/src/duration-recorder.ts
@@ -169,8 +169,8 @@
     let factor = 1;
     if (dataRack !== undefined && dataRack !== target.rack) factor *= remoteFactor;
     if (!isSameRack) return factor;
-    const others = task.step.tasks.flatMap(({ attempts }) => attempts);
-    const isSpread = others.some(({ targetId }) => fleet.find(targetId)?.rack !== target.rack);
+    const targetIds = [...task.step.targetIds];
+    const isSpread = targetIds.some((id) => fleet.find(id)?.rack !== target.rack);
     return isSpread ? factor * remoteFactor : factor;
   }
 
--- a/packages/execution/src/fleet.ts
+++ b/packages/execution/src/fleet.ts
@@ -197,7 +197,7 @@
 
   /** Assigns a run to a target and reserves its resources. */
   assign(target: TargetRecord, task: TaskRun, attempt: Attempt): void {
-    task.attempts.push(attempt);
+    task.addAttempt(attempt);
     target.assign(task, attempt);
     this.getRunning(task.step.job.stored.team).add(task.step.definition.request);
   }
--- a/packages/execution/src/placement-requests.ts
+++ b/packages/execution/src/placement-requests.ts
@@ -12,8 +12,8 @@
   { bounds, fleet }: OwnerContext,
   step: StepRun,
 ): Omit<PlacementRequest, 'failedOn'> {
-  const firstAttempt = step.tasks.flatMap((task) => task.attempts)[0];
-  const stepRack = firstAttempt === undefined ? undefined : fleet.find(firstAttempt.targetId)?.rack;
+  const [firstTargetId] = step.targetIds;
+  const stepRack = firstTargetId === undefined ? undefined : fleet.find(firstTargetId)?.rack;
   return {
     step: step.definition,
     footprint: getFootprint(step.definition),
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -1,4 +1,4 @@
-import type { StepRun, TaskRun } from '@currantgap/jobs';
+import type { Occurrence, StepRun, TaskRun } from '@currantgap/jobs';
 import type { Resources } from '@currantgap/model';
 import {
   chooseTarget,
@@ -7,14 +7,14 @@
   RoomCheck,
   type PlacementRequest,
 } from '@currantgap/scheduling';
-import type { ShareCandidate, Turn } from '@currantgap/sharing';
+import type { Turn } from '@currantgap/sharing';
 import type { AdviceCache } from './advice-cache.ts';
 import { getWallNow, listPossibleServices, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
-import { computeJobTiming } from './job-timing.ts';
+import { computeJobTiming, type JobTiming } from './job-timing.ts';
 import { buildPlacementRequest, buildStepRequest } from './placement-requests.ts';
 import { LateStarts } from './late-starts.ts';
-import { PoolShares } from './pool-shares.ts';
+import { PoolShares, type WaitingStep } from './pool-shares.ts';
 import type { Quarantine } from './quarantine.ts';
 import { Reservations } from './reservations.ts';
 import { RunCopier, type RunCopierOptions } from './run-copier.ts';
@@ -22,10 +22,14 @@
 import type { TargetRecord } from './target-record.ts';
 import { TeamCaps } from './team-caps.ts';
 
+/** Tasks of one step that one pass starts at most: a pass is one turn of the event loop. */
+const MAXIMUM_STARTS = 500;
+
 /** A step with tasks that wait for targets. */
-interface ReadyStep extends ShareCandidate {
+interface ReadyStep extends WaitingStep {
   readonly record: JobRecord;
   readonly step: StepRun;
+  /** The tasks that this pass may start; none of a gang, which starts as a whole. */
   readonly waiting: readonly TaskRun[];
 }
 
@@ -77,7 +81,7 @@
 
   /** Starts the waiting tasks that can start now, most urgent steps first, and copies of stragglers. */
   plan(): void {
-    if (this.#context.partitionGuard.shouldPause()) return;
+    if (this.#context.partitionGuard.shouldPause() || !this.#orders.canStart) return;
     this.#caps.refresh();
     const crowded = new Set<string>();
     for (const [service, steps] of this.#listReadySteps()) {
@@ -121,12 +125,14 @@
     const unresolved = this.#context.fleet.listUnresolvedTasks();
     for (const record of active.values()) {
       if (record.route === undefined || !routeHistory.canStart(record.route)) continue;
-      for (const step of record.job.listRunnableSteps(wallNow)) {
-        const waiting = this.#listStartable(record, step, now).filter(
-          ({ name }) => !unresolved.has(name),
-        );
-        if (waiting.length === 0) continue;
-        const ready = this.#buildReadyStep(record, step, waiting, wallNow);
+      const timings = new Map<Occurrence, JobTiming>();
+      for (const step of record.job.listWaitingSteps(wallNow)) {
+        const waiting = this.#listStartable(record, step, now, unresolved);
+        if (waiting === undefined) continue;
+        const timing =
+          timings.get(step.occurrence) ?? computeJobTiming(this.#context, record, step, wallNow);
+        timings.set(step.occurrence, timing);
+        const ready = buildReadyStep(record, step, waiting, timing);
         const { service } = record.route;
         const list = byService.get(service);
         if (list === undefined) byService.set(service, [ready]);
@@ -136,39 +142,31 @@
     return byService;
   }
 
-  /** Lists the tasks that may start; those of an earlier term only if no target can be running them. */
-  #listStartable(record: JobRecord, step: StepRun, now: number): TaskRun[] {
-    const { reconciliation } = this.#context;
-    const services = listPossibleServices(this.#context, record);
-    if (!record.isInherited && !reconciliation.canStartNew(services, now)) return [];
-    const waiting = step.listWaiting(now);
-    if (!record.isInherited) return waiting;
-    const { isPersistent } = step.definition;
-    return waiting.filter(({ name }) =>
-      reconciliation.canStartInherited(name, services, now, isPersistent),
-    );
-  }
-
-  #buildReadyStep(
+  /**
+   * Lists tasks of a step that may start, as many as one pass starts; undefined if none may. Those of an earlier
+   * term may only if no target can be running them, and a gang only if that holds for all members.
+   */
+  #listStartable(
     record: JobRecord,
     step: StepRun,
-    waiting: readonly TaskRun[],
-    wallNow: number,
-  ): ReadyStep {
-    return {
-      record,
-      step,
-      waiting,
-      isPersistent: step.definition.isPersistent,
-      priority: record.route?.priority ?? 0,
-      ...computeJobTiming(this.#context, record, step, wallNow),
-      isWithinWeight: record.isWithinWeight,
-      hasStarted: record.job.hasStarted,
-      team: record.job.stored.team,
-      footprint: getFootprint(step.definition),
-      isGang: step.definition.isGang,
-      acceptedAt: record.arrivedAt,
-    };
+    now: number,
+    unresolved: ReadonlySet<string>,
+  ): TaskRun[] | undefined {
+    const { reconciliation } = this.#context;
+    const services = listPossibleServices(this.#context, record);
+    const { isGang, isPersistent } = step.definition;
+    const isAwaited = record.isInherited
+      ? reconciliation.isPoolAwaited(services, now, isPersistent)
+      : !reconciliation.canStartNew(services, now);
+    if (isAwaited) return undefined;
+    const isRestricted = record.isInherited && reconciliation.listPending(now).length > 0;
+    const isStartable = (name: string): boolean =>
+      !unresolved.has(name) &&
+      (!isRestricted || reconciliation.canStartInherited(name, services, now, isPersistent));
+    const isIncluded = isRestricted || unresolved.size > 0 ? isStartable : undefined;
+    if (isGang) return canStartGang(step, now, isIncluded) ? [] : undefined;
+    const waiting = step.listWaiting(now, { limit: MAXIMUM_STARTS, isIncluded });
+    return waiting.length > 0 ? waiting : undefined;
   }
 
   #place(
@@ -188,7 +186,7 @@
     for (let index = from; index < to; index += 1) {
       const task = waiting[index];
       if (task === undefined) break;
-      if (!this.#caps.isWithin(step, step.definition.request))
+      if (!this.#orders.canStart || !this.#caps.isWithin(step, step.definition.request))
         return { placedCount, isBlocked: true };
       let target: TargetRecord | undefined;
       if (task.isSuspect || room.hasRoom(footprint)) {
@@ -278,6 +276,42 @@
   }
 }
 
+function buildReadyStep(
+  record: JobRecord,
+  step: StepRun,
+  waiting: readonly TaskRun[],
+  timing: JobTiming,
+): ReadyStep {
+  return {
+    record,
+    step,
+    waiting,
+    waitingCount: step.waitingCount,
+    isPersistent: step.definition.isPersistent,
+    priority: record.route?.priority ?? 0,
+    ...timing,
+    isWithinWeight: record.isWithinWeight,
+    hasStarted: record.job.hasStarted,
+    team: record.job.stored.team,
+    footprint: getFootprint(step.definition),
+    isGang: step.definition.isGang,
+    acceptedAt: record.arrivedAt,
+  };
+}
+
+/** Whether all tasks of a gang wait and may be started. */
+function canStartGang(
+  step: StepRun,
+  now: number,
+  isStartable: ((name: string) => boolean) | undefined,
+): boolean {
+  if (!step.canStartAll(now)) return false;
+  if (isStartable === undefined) return true;
+  for (let index = 0; index < step.count; index += 1)
+    if (!isStartable(`${step.name}.${index}`)) return false;
+  return true;
+}
+
 function computeProduct(amount: Resources, factor: number): Resources {
   return addScaled({ cpuMillis: 0, memoryMb: 0, gpus: 0 }, amount, factor);
 }
--- a/packages/execution/src/pool-load.ts
+++ b/packages/execution/src/pool-load.ts
@@ -47,13 +47,9 @@
   for (const { job, route } of context.active.values()) {
     if (route === undefined) continue;
     const load = getLoad(route.service);
-    for (const step of job.listRunnableSteps(wallNow)) {
-      const footprint = getFootprint(step.definition);
-      for (const task of step.tasks) {
-        if (task.isDone || task.isActive) continue;
-        load.waiting.add(footprint);
-        load.waitingTasks += 1;
-      }
+    for (const step of job.listWaitingSteps(wallNow)) {
+      load.waiting.add(getFootprint(step.definition), step.waitingCount);
+      load.waitingTasks += step.waitingCount;
     }
   }
 }
--- a/packages/execution/src/pool-shares.ts
+++ b/packages/execution/src/pool-shares.ts
@@ -23,6 +23,12 @@
 /** Most teams in a log line. */
 const LOGGED_TEAMS = 20;
 
+/** A step with tasks to place, of which a pass lists some. */
+export interface WaitingStep extends ShareCandidate {
+  /** Number of tasks that wait, listed or not. */
+  readonly waitingCount: number;
+}
+
 /** What a pass found in a contended pool. */
 interface Contention {
   lastSeenAt: number;
@@ -42,7 +48,7 @@
   }
 
   /** Builds the order for one pass over the steps of a pool, whose open targets are `open`. */
-  buildOrder<T extends ShareCandidate>(
+  buildOrder<T extends WaitingStep>(
     service: string,
     candidates: readonly T[],
     open: readonly TargetRecord[],
@@ -121,11 +127,11 @@
 
   #listUsages(
     held: ReadonlyMap<string, ResourceSum>,
-    candidates: readonly ShareCandidate[],
+    candidates: readonly WaitingStep[],
   ): TeamUsage[] {
     const waiting = new Map<string, ResourceSum>();
-    for (const { team, footprint, waiting: tasks } of candidates)
-      addTo(waiting, team, footprint, tasks.length);
+    for (const { team, footprint, waitingCount } of candidates)
+      addTo(waiting, team, footprint, waitingCount);
     return [...new Set([...held.keys(), ...waiting.keys()])].map((team) => ({
       team,
       weight: this.#getWeight(team),
@@ -148,15 +154,12 @@
  * Whether the waiting tasks request more of some resource than the open targets have free. Tasks that
  * fit on none of them, even if it is empty, don't count.
  */
-function isContended(
-  candidates: readonly ShareCandidate[],
-  open: readonly TargetRecord[],
-): boolean {
+function isContended(candidates: readonly WaitingStep[], open: readonly TargetRecord[]): boolean {
   const requested = new ResourceSum();
   const nothing = new ResourceSum();
   const empty = new RoomCheck(open.map(({ capacity }) => ({ capacity, used: nothing })));
-  for (const { footprint, waiting } of candidates)
-    if (empty.hasRoom(footprint)) addScaled(requested, footprint, waiting.length);
+  for (const { footprint, waitingCount } of candidates)
+    if (empty.hasRoom(footprint)) requested.add(footprint, waitingCount);
   const capacity = computeCapacity(open);
   const used = new ResourceSum();
   for (const target of open) used.add(target.used);
@@ -190,11 +193,5 @@
   const known = sums.get(team);
   const sum = known ?? new ResourceSum();
   if (known === undefined) sums.set(team, sum);
-  addScaled(sum, footprint, count);
-}
-
-function addScaled(sum: ResourceSum, amount: Resources, factor: number): void {
-  sum.cpuMillis += amount.cpuMillis * factor;
-  sum.memoryMb += amount.memoryMb * factor;
-  sum.gpus += amount.gpus * factor;
+  sum.add(footprint, count);
 }
--- a/packages/execution/src/reconciliation.ts
+++ b/packages/execution/src/reconciliation.ts
@@ -9,6 +9,7 @@
   MAXIMUM_POOL_WAIT_MS,
   MAXIMUM_WAIT_MS,
 } from './call-timing.ts';
+import { PendingRuns } from './pending-runs.ts';
 import type { PoolArrivals } from './pool-arrivals.ts';
 
 /** Milliseconds after which a predecessor that still runs has learnt from a target that it is deposed. */
@@ -35,7 +36,7 @@
 interface PendingList {
   readonly now: number;
   readonly lastArrivalAt: number;
-  readonly pending: readonly LeasedTarget[];
+  readonly pending: PendingRuns;
 }
 
 /**
@@ -156,7 +157,7 @@
     // A report lists all active runs, and the end of one does not end a persistent task.
     if (isPersistent) return !this.canBeRunning(taskName, services, now);
     if (this.#isPoolPartlyReported(services)) return false;
-    return this.#listAwaited(taskName, services, now).length === 0;
+    return !this.getPending(now).isAwaited(taskName, services, false);
   }
 
   /**
@@ -164,8 +165,13 @@
    * the protocol, although the leases of its last incarnation may not be over.
    */
   canBeRunning(taskName: string, services: readonly string[], now: number): boolean {
-    const awaited = this.#listAwaited(taskName, services, now);
-    return awaited.some(({ id }) => this.#pending.get(id)?.isOutageOver(taskName, now) !== true);
+    return this.getPending(now).isAwaited(taskName, services, true);
+  }
+
+  /** Whether no task of these services that was accepted in an earlier term may start. */
+  isPoolAwaited(services: readonly string[], now: number, isPersistent: boolean): boolean {
+    if (!isPersistent && this.#isPoolPartlyReported(services)) return true;
+    return this.getPending(now).isAnyAwaited(services, isPersistent);
   }
 
   /**
@@ -184,10 +190,19 @@
    * may carry out late, this takes longer: it is listed with their tasks alone.
    */
   listPending(now: number): readonly LeasedTarget[] {
+    return this.getPending(now).targets;
+  }
+
+  /** Gets the same targets by the tasks that they may run. */
+  getPending(now: number): PendingRuns {
     const { lastArrivalAt } = this.#options.arrivals;
-    if (this.#listed?.now !== now || this.#listed.lastArrivalAt !== lastArrivalAt)
-      this.#listed = { now, lastArrivalAt, pending: this.#buildPending(now) };
-    return this.#listed.pending;
+    if (this.#listed?.now === now && this.#listed.lastArrivalAt === lastArrivalAt)
+      return this.#listed.pending;
+    const isOutageOver = ({ id }: LeasedTarget, task?: string): boolean =>
+      this.#pending.get(id)?.isOutageOver(now, task) === true;
+    const pending = new PendingRuns(this.#buildPending(now), isOutageOver);
+    this.#listed = { now, lastArrivalAt, pending };
+    return pending;
   }
 
   #buildPending(now: number): readonly LeasedTarget[] {
@@ -234,16 +249,6 @@
     return new AwaitedTarget(target, timing);
   }
 
-  #listAwaited(
-    taskName: string,
-    services: readonly string[],
-    now: number,
-  ): readonly LeasedTarget[] {
-    return this.listPending(now).filter(
-      ({ service, tasks }) => tasks?.includes(taskName) ?? services.includes(service),
-    );
-  }
-
   #isPoolPartlyReported(services: readonly string[]): boolean {
     return [...this.#partial.values()].some((service) => services.includes(service));
   }
--- a/packages/execution/src/report-processor.ts
+++ b/packages/execution/src/report-processor.ts
@@ -291,12 +291,8 @@
       for (const other of task.step.job.listAttempts()) this.#orders.stop(other, 'job failed');
       return;
     }
-    const members = task.step.definition.isGang ? task.step.tasks : [task];
-    for (const member of members) {
-      for (const attempt of member.attempts) {
-        if (!task.step.definition.isGang) this.#orders.stop({ task: member, attempt }, 'task done');
-      }
-    }
+    if (task.step.definition.isGang) return;
+    for (const attempt of task.attempts) this.#orders.stop({ task, attempt }, 'task done');
   }
 
   /** Whether neither the job of a task nor its end is known yet; requests a lookup then. */
--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -3,7 +3,7 @@
 import { MAXIMUM_CALL_AGE_MS } from './call-timing.ts';
 import { computeMaximumLeaseMs, type OwnerContext } from './context.ts';
 import type { OwnerMessage } from './messages.ts';
-import { isAccepted, OrderOutcome, StartOutcome, type ActiveRun } from './ports.ts';
+import { isAccepted, OrderOutcome, StartOutcome, type ActiveRun, type RunOrder } from './ports.ts';
 import { MINIMUM_CLOCK_RATE, type Assignment, type TargetRecord } from './target-record.ts';
 
 /** Milliseconds before an unanswered stop is retried. */
@@ -14,6 +14,14 @@
 const MALFORMED_PAUSE_MS = 5_000;
 /** Milliseconds by which two readings of a target's clock may be rounded apart. */
 const CLOCK_READING_MARGIN_MS = 2;
+/** Starts without an answer beyond which no task is started: calls that wait for a connection expire unsent. */
+const MAXIMUM_UNANSWERED_STARTS = 1_000;
+/**
+ * Stops without an answer beyond which none is sent, in all and to one target, so that a silent one delays no other.
+ * The next check of all runs, or the next report, sends what was left out.
+ */
+const MAXIMUM_UNANSWERED_STOPS = 2_000;
+const MAXIMUM_UNANSWERED_STOPS_ON_TARGET = 250;
 /** Run numbers per epoch, so that a successor's exceed those of starts that it does not know of. */
 const RUNS_PER_EPOCH = 10_000;
 
@@ -30,6 +38,7 @@
   /** Starts without an answer, in the order in which they were sent, with their targets. */
   readonly unansweredStarts = new Map<Assignment, TargetRecord>();
   readonly #context: OwnerContext;
+  #unansweredStops = 0;
   /** Give up the calls of the starts without an answer. */
   readonly #withdrawals = new WeakMap<Attempt, AbortController>();
 
@@ -37,6 +46,11 @@
     this.#context = context;
   }
 
+  /** Whether further starts may be sent now; the answers to earlier ones make room for others. */
+  get canStart(): boolean {
+    return this.unansweredStarts.size < MAXIMUM_UNANSWERED_STARTS;
+  }
+
   /** Assigns a task to a target and sends the start order. */
   start(task: TaskRun, target: TargetRecord, run: number, ticket?: string): void {
     const { clock, durationRecorder, fleet, post, targetPort } = this.#context;
@@ -103,9 +117,9 @@
    * reports it, it is stopped again.
    */
   stopUnneeded(target: TargetRecord, { task, run }: ActiveRun): void {
-    const { logger, targetPort } = this.#context;
-    logger.writeWarning('unneeded run stopped', { task, run, target: target.id });
-    void targetPort.stop(target.address, { task, run, token: target.fence.token });
+    if (!this.#canStop(target)) return;
+    this.#context.logger.writeWarning('unneeded run stopped', { task, run, target: target.id });
+    void this.#deliverStop(target, { task, run, token: target.fence.token });
   }
 
   /** Applies the outcome of a start order. */
@@ -190,17 +204,32 @@
   }
 
   #sendStop(target: TargetRecord, assignment: Assignment): void {
-    const { clock, post, targetPort } = this.#context;
+    const { clock, post } = this.#context;
     const { task, attempt } = assignment;
     if (clock.now < attempt.stopRetryAt || attempt.stopAnsweredAt !== undefined) return;
+    if (!this.#canStop(target)) return;
     attempt.stopRetryAt = clock.now + STOP_RETRY_MS;
     const { token } = target.fence;
     const order = { task: task.name, run: attempt.run, token };
     const knownBornAt = target.bornAt;
-    void targetPort.stop(target.address, order).then((outcome) => {
+    void this.#deliverStop(target, order).then((outcome) => {
       post({ kind: 'stopped', target, assignment, knownBornAt, token, outcome });
     });
   }
+
+  #canStop({ unansweredStops }: TargetRecord): boolean {
+    if (unansweredStops >= MAXIMUM_UNANSWERED_STOPS_ON_TARGET) return false;
+    return this.#unansweredStops < MAXIMUM_UNANSWERED_STOPS;
+  }
+
+  async #deliverStop(target: TargetRecord, order: RunOrder): Promise<OrderOutcome> {
+    target.unansweredStops += 1;
+    this.#unansweredStops += 1;
+    const outcome = await this.#context.targetPort.stop(target.address, order);
+    target.unansweredStops -= 1;
+    this.#unansweredStops -= 1;
+    return outcome;
+  }
 }
 
 /**
--- a/packages/execution/src/target-record.ts
+++ b/packages/execution/src/target-record.ts
@@ -68,6 +68,8 @@
   retryAcknowledgementAt = 0;
   /** Calls without an answer since the last report; the target counts as silent unless 0. */
   unansweredCalls = 0;
+  /** Stops that await their answers. */
+  unansweredStops = 0;
   /** What a successor would learn from the roster about the target. */
   rosterState = RosterState.Absent;
   /** The target gets no new work before this time. */
--- a/packages/execution/src/team-loads.ts
+++ b/packages/execution/src/team-loads.ts
@@ -78,19 +78,17 @@
   newSince: number,
 ): void {
   const wallNow = getWallNow();
-  const unsettled = collectUnsettled(context);
   for (const record of context.active.values()) {
     const { job, route } = record;
     if (route === undefined || job.isPersistent) continue;
-    const runnable = new Set(job.listRunnableSteps(wallNow));
+    const runnable = new Set(job.listWaitingSteps(wallNow));
     const totals = getTotals(pools, route.service, job.stored.team);
     for (const occurrence of job.occurrences.values()) {
       if (!isOnTime(context, record, occurrence, wallNow)) continue;
       for (const step of occurrence.steps) {
-        const count = countWaiting(
-          step,
-          record.isInherited ? unsettled.get(route.service) : undefined,
-        );
+        const count = record.isInherited
+          ? countWaiting(context, step, [route.service])
+          : step.waitingCount;
         if (count === 0) continue;
         const request = computeProduct(getFootprint(step.definition), count);
         if (runnable.has(step)) totals.waiting.add(request);
@@ -117,31 +115,18 @@
   return elapsedMs + remainingMs <= objectiveMs;
 }
 
-/** Tasks of an earlier term that may run on targets of one service without a report. */
-interface UnsettledTasks {
-  readonly names: Set<string>;
-  /** Whether any task of an earlier term may run there. */
-  isAny: boolean;
-}
-
-/** Collects the tasks of an earlier term that may be running, by service. */
-function collectUnsettled({ clock, reconciliation }: OwnerContext): Map<string, UnsettledTasks> {
-  const unsettled = new Map<string, UnsettledTasks>();
-  for (const { service, tasks } of reconciliation.listPending(clock.now)) {
-    const entry = unsettled.get(service) ?? { names: new Set<string>(), isAny: false };
-    unsettled.set(service, entry);
-    entry.isAny ||= tasks === undefined;
-    for (const name of tasks ?? []) entry.names.add(name);
-  }
-  return unsettled;
-}
-
-/** Counts the tasks of a step that surely wait. */
-function countWaiting(step: StepRun, unsettled: UnsettledTasks | undefined): number {
-  if (unsettled?.isAny === true) return 0;
-  let count = 0;
-  for (const task of step.tasks) {
-    if (!task.isDone && !task.isActive && unsettled?.names.has(task.name) !== true) count += 1;
+/** Counts the tasks of a step of an earlier term that surely wait: those that no target may run unreported. */
+function countWaiting(
+  { clock, reconciliation }: OwnerContext,
+  step: StepRun,
+  services: readonly string[],
+): number {
+  const pending = reconciliation.getPending(clock.now);
+  if (pending.isAnyAwaited(services, false)) return 0;
+  let count = step.waitingCount;
+  for (const name of pending.getTasks(step.name)) {
+    const index = Number(name.slice(name.lastIndexOf('.') + 1));
+    if (step.isTaskWaiting(index) && pending.isAwaited(name, services, false)) count -= 1;
   }
   return count;
 }
--- a/packages/execution/src/unreported-runs.ts
+++ b/packages/execution/src/unreported-runs.ts
@@ -1,3 +1,4 @@
+import type { StepRun } from '@currantgap/jobs';
 import type { Resources } from '@currantgap/model';
 import { canHaveCopies, ResourceSum } from '@currantgap/scheduling';
 import { getWallNow, listPossibleServices, type OwnerContext } from './context.ts';
@@ -31,18 +32,31 @@
 ): void {
   const { clock, reconciliation } = context;
   const services = listPossibleServices(context, record);
+  const pending = reconciliation.getPending(clock.now);
+  const isAnyAwaited = pending.isAnyAwaited(services, true);
   for (const step of record.job.listRunnableSteps(wallNow)) {
+    const { request } = step.definition;
     const runsPerTask = canHaveCopies(step.definition) ? 2 : 1;
-    for (const { isDone, attempts, name } of step.tasks) {
-      if (isDone || attempts.length >= runsPerTask) continue;
-      if (!reconciliation.canBeRunning(name, services, clock.now)) continue;
-      for (let run = attempts.length; run < runsPerTask; run += 1) {
-        sum.add(step.definition.request);
-      }
+    if (isAnyAwaited) {
+      sum.add(request, countPossibleRuns(step, runsPerTask));
+      continue;
+    }
+    for (const name of pending.getTasks(step.name)) {
+      const task = step.findTask(Number(name.slice(name.lastIndexOf('.') + 1)));
+      if (task === undefined || task.isDone || !pending.isAwaited(name, services, true)) continue;
+      sum.add(request, Math.max(0, runsPerTask - task.attempts.length));
     }
   }
 }
 
+/** Counts the runs that the tasks of a step may have beside those that are known. */
+function countPossibleRuns(step: StepRun, runsPerTask: number): number {
+  let count = step.openTaskCount * runsPerTask;
+  for (const { isDone, attempts } of step.activeTasks)
+    if (!isDone) count -= Math.min(runsPerTask, attempts.length);
+  return count;
+}
+
 /** Computes what fits on the targets whose reports are pending; unlimited if one is not known. */
 function computePendingCapacity({ clock, fleet, reconciliation }: OwnerContext): Resources {
   const sum = new ResourceSum();
--- a/packages/ingress/test/ingress-handler.test.ts
+++ b/packages/ingress/test/ingress-handler.test.ts
@@ -176,6 +176,19 @@
     assert.equal(store.listKeys('intake').includes(id), false);
   });
 
+  // Review case 12: a schedule of lasting tasks needs all of them at the same time, as a step with as many does.
+  it('answers 413 at once to a schedule of more lasting tasks than may run at the same time', async () => {
+    const submit = async (iterations: number, step: object) => {
+      const id = iterations.toString(16).padStart(16, '0');
+      const steps = [{ count: 1, cpu: 1, mem_mb: 1, ...step }];
+      const body = JSON.stringify({ steps, iterations, interval_ms: 60_000 });
+      return (await call('POST', `/a/${id}`, { key: 'good', body })).status;
+    };
+    assert.equal(await submit(17_501, { persistent: true }), 413);
+    assert.equal(await submit(17_500, { persistent: true }), 200);
+    assert.equal(await submit(1_000_000, {}), 200);
+  });
+
   // Guards against refusals of which no log line tells by how old a configuration they were made.
   it('logs a refused request with the configuration and its age', async () => {
     const lines: string[] = [];
--- a/packages/jobs/src/critical-path.ts
+++ b/packages/jobs/src/critical-path.ts
@@ -1,5 +1,6 @@
 import type { Step } from '@currantgap/model';
 import type { Occurrence } from './occurrence.ts';
+import type { StepRun } from './step.ts';
 
 /**
  * Computes the length of the critical path through the steps in milliseconds. `estimateTaskMs`
@@ -54,18 +55,21 @@
       continue;
     }
     let remainingMs = 0;
-    let hasUnstarted = false;
-    for (const task of step.tasks) {
-      if (task.isDone) continue;
-      if (!task.isActive) {
-        hasUnstarted = true;
-        continue;
-      }
-      const startedAt = Math.min(now, ...task.attempts.map((attempt) => attempt.startedAt));
+    for (const startedAt of collectStartTimes(step, now))
       remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, now - startedAt));
-    }
-    if (hasUnstarted) remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, 0));
+    if (step.waitingCount > 0)
+      remainingMs = Math.max(remainingMs, estimateRemainingMs(step.definition, 0));
     endsMs.push(startMs + remainingMs);
   }
   return Math.max(0, ...endsMs);
 }
+
+/** Collects the times at which the oldest runs of the tasks that are not done were started; many are started at once. */
+function collectStartTimes(step: StepRun, now: number): ReadonlySet<number> {
+  const times = new Set<number>();
+  for (const task of step.activeTasks) {
+    if (task.isDone) continue;
+    times.add(Math.min(now, ...task.attempts.map((attempt) => attempt.startedAt)));
+  }
+  return times;
+}
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,4 +1,4 @@
-import { EndKind, JobState, type StoredJob } from '@currantgap/model';
+import { EndKind, JobState, type Step, type StoredJob, type Submission } from '@currantgap/model';
 import { NumberRanges } from './number-ranges.ts';
 import { Occurrence } from './occurrence.ts';
 import type { StepRun } from './step.ts';
@@ -9,6 +9,20 @@
  * than run at the same time, and few enough that their progress fits into the rows of one transaction.
  */
 const MAXIMUM_OPEN_TASKS = 2_000;
+/** Waiting tasks of a schedule of persistent tasks beyond which no further due occurrence is opened: more than one pass starts. */
+const MAXIMUM_WAITING_TASKS = 1_000;
+
+/** Tasks that a job may have at the same time: the progress of more would not fit into the rows of one transaction. */
+export const MAXIMUM_TASKS = 17_500;
+
+/**
+ * Counts the tasks that a submission has at the same time once all its occurrences are due. Persistent ones never
+ * end, so that those of all occurrences add up.
+ */
+export function countConcurrentTasks({ steps, iterations }: Submission): number {
+  const persistent = steps.filter(({ isPersistent }) => isPersistent);
+  return countTasks(steps) + countTasks(persistent) * Math.max(0, iterations - 1);
+}
 
 /** Effect of a run's end on its job. */
 export enum EndEffect {
@@ -41,11 +55,22 @@
    * after that.
    */
   endedAt = 0;
+  /** Whether a step has persistent tasks, which run until the job is cancelled. */
+  readonly isPersistent: boolean;
+  /** Tasks of one occurrence. */
+  readonly #tasksPerOccurrence: number;
+  /** Steps of open occurrences that have waiting tasks. */
+  readonly #waitingSteps = new Set<StepRun>();
+  /** Number of the waiting tasks of all open occurrences. */
+  #waitingCount = 0;
   /** Number of the last occurrence that was opened because it was due; -1 before the first. */
   #openedThrough = -1;
 
   constructor(stored: StoredJob) {
     this.stored = stored;
+    const { steps } = stored.submission;
+    this.isPersistent = steps.some((step) => step.isPersistent);
+    this.#tasksPerOccurrence = countTasks(steps);
   }
 
   get id(): string {
@@ -61,24 +86,15 @@
     return this.stored.submission.iterations > 0;
   }
 
-  /** Whether a step has persistent tasks, which run until the job is cancelled. */
-  get isPersistent(): boolean {
-    return this.stored.submission.steps.some((step) => step.isPersistent);
-  }
-
-  /**
-   * Opens the occurrences that are due, as many as may be open at the same time; `wallNow` is in Unix
-   * milliseconds. Those of lasting tasks never end, so that none waits for others.
-   */
+  /** Opens the occurrences that are due, as many as may be open at the same time; `wallNow` is in Unix milliseconds. */
   openDueOccurrences(wallNow: number): void {
     const { iterations, firstRunAt, intervalMs } = this.stored.submission;
     if (this.isEnded) return;
     const last = this.isScheduled
       ? countDueOccurrences(wallNow, firstRunAt, intervalMs, iterations) - 1
       : 0;
-    const limit = this.isPersistent ? Infinity : this.#maximumOpenOccurrences;
     for (let number = this.#openedThrough + 1; number <= last; number += 1) {
-      if (this.occurrences.size >= limit && !this.occurrences.has(number)) return;
+      if (!this.occurrences.has(number) && !this.#canOpenAnother()) return;
       this.#openedThrough = number;
       if (this.doneOccurrences.has(number)) continue;
       this.openOccurrence(number);
@@ -104,11 +120,25 @@
     return steps;
   }
 
+  /** Opens the occurrences that are due and lists the steps whose tasks may run now and some of which wait. */
+  listWaitingSteps(wallNow: number): StepRun[] {
+    if (this.isEnded) return [];
+    this.openDueOccurrences(wallNow);
+    return [...this.#waitingSteps].filter((step) => step.isReady);
+  }
+
+  /** Records by how much the number of waiting tasks of a step has changed. */
+  recordWaiting(step: StepRun, change: number): void {
+    this.#waitingCount += change;
+    if (step.waitingCount > 0) this.#waitingSteps.add(step);
+    else this.#waitingSteps.delete(step);
+  }
+
   /** Finds a task by occurrence, step and index; undefined if the occurrence is done. */
   findTask(occurrence: number, step: number, index: number): TaskRun | undefined {
     const existing = this.occurrences.get(occurrence);
     if (existing === undefined && this.doneOccurrences.has(occurrence)) return undefined;
-    return (existing ?? this.openOccurrence(occurrence)).steps[step]?.tasks[index];
+    return (existing ?? this.openOccurrence(occurrence)).steps[step]?.findTask(index);
   }
 
   /** Lists all runs that have not ended, each with its task. */
@@ -116,7 +146,7 @@
     const found: { task: TaskRun; attempt: Attempt }[] = [];
     for (const occurrence of this.occurrences.values()) {
       for (const step of occurrence.steps) {
-        for (const task of step.tasks) {
+        for (const task of step.activeTasks) {
           for (const attempt of task.attempts) found.push({ task, attempt });
         }
       }
@@ -145,7 +175,7 @@
   /** Fails the job if a task has this many failed runs; returns whether it did. */
   failIfExhausted(maximumAttempts: number): boolean {
     const tasks = [...this.occurrences.values()].flatMap(({ steps }) =>
-      steps.flatMap((step) => (step.definition.isPersistent ? [] : step.tasks)),
+      steps.flatMap((step) => (step.definition.isPersistent ? [] : [...step.records])),
     );
     const isExhausted = tasks.some((task) => !task.isDone && task.failures >= maximumAttempts);
     return isExhausted && this.fail();
@@ -165,10 +195,16 @@
     return true;
   }
 
-  get #maximumOpenOccurrences(): number {
-    const { steps } = this.stored.submission;
-    const tasks = steps.reduce((sum, { count }) => sum + count, 0);
-    return Math.max(1, Math.floor(MAXIMUM_OPEN_TASKS / tasks));
+  /**
+   * Whether one more due occurrence may be opened. Persistent tasks never end, so that no occurrence waits for the
+   * end of others: one is opened for those that have started, until the job has as many tasks as one may have.
+   */
+  #canOpenAnother(): boolean {
+    const openTasks = this.occurrences.size * this.#tasksPerOccurrence;
+    if (openTasks === 0) return true;
+    if (!this.isPersistent) return openTasks + this.#tasksPerOccurrence <= MAXIMUM_OPEN_TASKS;
+    if (this.#waitingCount >= MAXIMUM_WAITING_TASKS) return false;
+    return openTasks + this.#tasksPerOccurrence <= MAXIMUM_TASKS;
   }
 
   #finishTask(task: TaskRun): EndEffect {
@@ -184,6 +220,10 @@
   }
 }
 
+function countTasks(steps: readonly Pick<Step, 'count'>[]): number {
+  return steps.reduce((sum, { count }) => sum + count, 0);
+}
+
 function countDueOccurrences(
   wallNow: number,
   firstRunAt: number,
--- a/packages/jobs/src/ledger-row.ts
+++ b/packages/jobs/src/ledger-row.ts
@@ -1,5 +1,8 @@
 import { JobState, type Submission } from '@currantgap/model';
-import type { Job } from './job.ts';
+import { countConcurrentTasks, type Job } from './job.ts';
+import type { Occurrence } from './occurrence.ts';
+import type { StepRun } from './step.ts';
+import type { TaskRun } from './task.ts';
 
 /** Begin of a ledger row, which `encodeLedgerRow` writes. */
 const STATE_PATTERN = /\{"state":"([a-z]+)"/;
@@ -46,8 +49,8 @@
 }
 
 /** Estimates the bytes of a row without checkpoints at most, if no task fails more than twice. */
-export function estimateLedgerBytes({ steps }: Submission): number {
-  return steps.reduce((sum, { count }) => sum + count, 0) * BYTES_PER_TASK;
+export function estimateLedgerBytes(submission: Submission): number {
+  return countConcurrentTasks(submission) * BYTES_PER_TASK;
 }
 
 function encodeRow(job: Job, content: { readonly hasCheckpoints: boolean }): string {
@@ -97,8 +100,8 @@
     const sharedOn: Record<string, readonly string[]> = {};
     const checkpoints: Record<string, string> = {};
     for (const step of occurrence.steps) {
-      for (const task of step.tasks) {
-        const taskKey = `${step.index}.${task.index}`;
+      for (const task of step.records) {
+        const taskKey = getTaskKey(task);
         if (task.failures > 0 && !task.isDone) failedRuns[taskKey] = [...task.failedRuns];
         if (task.isSuspect && !task.isDone) crashedOn[taskKey] = [...task.crashedOn];
         if (task.unansweredOn.size > 0 && !task.isDone)
@@ -109,13 +112,13 @@
       }
     }
     const isUntouched =
-      occurrence.steps.every((step) => step.openTaskCount === step.tasks.length) &&
+      occurrence.steps.every((step) => step.doneTasks.size === 0) &&
       [failedRuns, crashedOn, sharedOn, checkpoints].every(
         (tasks) => Object.keys(tasks).length === 0,
       );
     if (isUntouched) continue;
     open[String(occurrence.number)] = {
-      done: occurrence.steps.map((step) => encodeBits(step.tasks.map((task) => task.isDone))),
+      done: occurrence.steps.map((step) => encodeBits(step)),
       ...(Object.keys(failedRuns).length > 0 ? { failedRuns } : {}),
       ...(Object.keys(crashedOn).length > 0 ? { crashedOn } : {}),
       ...(Object.keys(unansweredOn).length > 0 ? { unansweredOn } : {}),
@@ -130,33 +133,51 @@
   const occurrence = job.openOccurrence(number);
   for (const step of occurrence.steps) {
     const bits = row.done[step.index] ?? '0';
-    for (const task of step.tasks) {
-      const taskKey = `${step.index}.${task.index}`;
-      for (const run of row.failedRuns?.[taskKey] ?? []) task.recordFailedRun(run);
-      const unansweredOn = new Set(row.unansweredOn?.[taskKey]);
-      for (const target of row.crashedOn?.[taskKey] ?? []) {
-        if (unansweredOn.has(target)) task.recordUnansweredCrash(target);
-        else task.recordCrash(target);
-      }
-      for (const target of row.sharedOn?.[taskKey] ?? []) task.recordSharedCrash(target, false);
-      task.checkpoint = row.checkpoints?.[taskKey] ?? '';
-      if (!isBitSet(bits, task.index) || task.isDone) continue;
-      task.isDone = true;
-      step.openTaskCount -= 1;
+    for (let index = 0; index < step.count; index += 1)
+      if (isBitSet(bits, index)) step.recordDone(index);
+  }
+  for (const [task, runs] of listTasks(occurrence, row.failedRuns))
+    for (const run of runs) task.recordFailedRun(run);
+  for (const [task, targets] of listTasks(occurrence, row.crashedOn)) {
+    const unansweredOn = new Set(row.unansweredOn?.[getTaskKey(task)]);
+    for (const target of targets) {
+      if (unansweredOn.has(target)) task.recordUnansweredCrash(target);
+      else task.recordCrash(target);
     }
   }
+  for (const [task, targets] of listTasks(occurrence, row.sharedOn))
+    for (const target of targets) task.recordSharedCrash(target, false);
+  for (const [task, checkpoint] of listTasks(occurrence, row.checkpoints))
+    task.checkpoint = checkpoint;
+}
+
+/** Lists the tasks of which a row has something, each with that; keys that name no task are skipped. */
+function listTasks<T>(
+  { steps }: Occurrence,
+  byTask: Readonly<Record<string, T>> = {},
+): (readonly [TaskRun, T])[] {
+  return Object.entries(byTask).flatMap(([key, value]) => {
+    const [step = Number.NaN, index = Number.NaN] = key.split('.').map(Number);
+    const task = steps[step]?.findTask(index);
+    return task === undefined ? [] : [[task, value] as const];
+  });
+}
+
+function getTaskKey({ step, index }: TaskRun): string {
+  return `${step.index}.${index}`;
 }
 
-/** Encodes flags as a hexadecimal number whose lowest bit is the first flag. */
-function encodeBits(flags: readonly boolean[]): string {
+/** Encodes the done tasks of a step as a hexadecimal number whose lowest bit is the first task. */
+function encodeBits({ count, doneTasks }: StepRun): string {
+  if (doneTasks.size === 0) return '0';
   const digits: string[] = [];
-  for (let start = 0; start < flags.length; start += TASKS_PER_DIGIT) {
-    const bits = flags.slice(start, start + TASKS_PER_DIGIT);
-    const digit = bits.reduce((sum, flag, position) => sum + (flag ? 1 << position : 0), 0);
+  for (let start = 0; start < count; start += TASKS_PER_DIGIT) {
+    let digit = 0;
+    for (let bit = 0; bit < TASKS_PER_DIGIT; bit += 1)
+      if (doneTasks.has(start + bit)) digit += 1 << bit;
     digits.push(digit.toString(16));
   }
-  const text = digits.reverse().join('').replace(/^0+/, '');
-  return text === '' ? '0' : text;
+  return digits.reverse().join('').replace(/^0+/, '');
 }
 
 function isBitSet(bits: string, index: number): boolean {
--- a/packages/jobs/src/task.ts
+++ b/packages/jobs/src/task.ts
@@ -71,6 +71,7 @@
 /** Shared by all tasks without entries: most tasks never fail, and large jobs have many. */
 const NO_RUNS: ReadonlySet<number> = new Set();
 const NO_NAMES: ReadonlySet<string> = new Set();
+const NO_ATTEMPTS: readonly Attempt[] = [];
 
 /** One task and its runs. Times are milliseconds of the owner's monotonic clock. */
 export class TaskRun {
@@ -78,7 +79,8 @@
   readonly index: number;
   /** `ID.OCCURRENCE.STEP.INDEX`, with the job's id. */
   readonly name: string;
-  readonly attempts: Attempt[] = [];
+  #attempts: Attempt[] | undefined;
+  /** Set by the step, which counts its tasks that are done. */
   isDone = false;
   /** Number of the run that was done first; 0 if none was in this term. */
   doneRun = 0;
@@ -101,6 +103,11 @@
     this.name = `${step.name}.${index}`;
   }
 
+  /** Runs that have not ended. */
+  get attempts(): readonly Attempt[] {
+    return this.#attempts ?? NO_ATTEMPTS;
+  }
+
   /**
    * Numbers of the runs that failed. A set, since after a take-over the new owner reads ends again
    * that its predecessor has already counted.
@@ -193,10 +200,19 @@
     if (!isBehind || this.checkpoint === '') this.checkpoint = checkpoint;
   }
 
+  /** Adds a run that was ordered, or that a target has reported. */
+  addAttempt(attempt: Attempt): void {
+    this.#attempts ??= [];
+    this.#attempts.push(attempt);
+    this.step.recordAttempt(this, attempt);
+  }
+
   /** Removes a run that has ended, was lost or never began. */
   removeAttempt(attempt: Attempt): void {
     const position = this.attempts.indexOf(attempt);
-    if (position >= 0) this.attempts.splice(position, 1);
+    if (position < 0) return;
+    this.#attempts?.splice(position, 1);
+    this.step.recordAttemptEnd(this, attempt);
   }
 }
 
--- a/packages/jobs/test/job.test.ts
+++ b/packages/jobs/test/job.test.ts
@@ -251,7 +251,7 @@
       elapsedMs > 800 ? 300 : step.estimatedMs - elapsedMs;
     assert.equal(computeRemainingCriticalPathMs(occurrence, 1_000, estimate), 1_300);
     for (const member of occurrence.steps[0]?.tasks ?? []) {
-      member.attempts.push({ startedAt: 1_000 } as TaskRun['attempts'][number]);
+      member.addAttempt({ startedAt: 1_000 } as TaskRun['attempts'][number]);
     }
     assert.equal(computeRemainingCriticalPathMs(occurrence, 1_600, estimate), 700);
     assert.equal(computeRemainingCriticalPathMs(occurrence, 9_000, estimate), 800);
--- a/packages/scheduling/src/resources.ts
+++ b/packages/scheduling/src/resources.ts
@@ -6,10 +6,11 @@
   memoryMb = 0;
   gpus = 0;
 
-  add(amount: Resources): void {
-    this.cpuMillis += amount.cpuMillis;
-    this.memoryMb += amount.memoryMb;
-    this.gpus += amount.gpus;
+  /** Adds an amount, `factor` times. */
+  add(amount: Resources, factor = 1): void {
+    this.cpuMillis += amount.cpuMillis * factor;
+    this.memoryMb += amount.memoryMb * factor;
+    this.gpus += amount.gpus * factor;
   }
 
   remove(amount: Resources): void {
--- a/packages/sharing/src/share-order.ts
+++ b/packages/sharing/src/share-order.ts
@@ -70,7 +70,7 @@
   }
 
   add(footprint: Resources, count: number): void {
-    for (let index = 0; index < count; index += 1) this.#held.add(footprint);
+    this.#held.add(footprint, count);
     this.#update();
   }
 
