fix(scheduling,execution): a gang of any size costs a plan one look at each target

Cause: each member was placed by itself, with a request built by a walk over all runs of the step, so that a plan cost the square of the gang's size, at every event of any target.

Why it works: what fits on each target is computed once, the sum says whether the gang fits. The disruption budget is now a class; its test asks the same.

--- a/packages/execution/src/disruption-budget.ts
+++ b/packages/execution/src/disruption-budget.ts
@@ -1,5 +1,5 @@
 import { canDisrupt } from '@currantgap/fleet';
-import { AttemptPhase, type Attempt, type TaskRun } from '@currantgap/jobs';
+import { AttemptPhase, type Attempt, type StepRun, type TaskRun } from '@currantgap/jobs';
 import { TargetState } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
 import type { Assignment } from './target-record.ts';
@@ -8,47 +8,62 @@
 const READY_PERCENT = 100;
 
 /**
- * Whether the disruption budget of a persistent task's step allows stopping it on a target that
- * could keep it. Ready tasks on draining targets count as unavailable, since they leave soon.
+ * Decides in one sweep which persistent tasks the disruption budgets of their steps allow to stop. The tasks of a
+ * step are counted once, since a sweep asks for each of them.
  */
-export function canStopPersistent(context: OwnerContext, { task }: Assignment): boolean {
-  return hasBudget(
-    task,
-    (other) => isKnownReady(context, other) && !isOnDrainingTarget(context, other),
-  );
-}
+export class DisruptionSurvey {
+  readonly #context: OwnerContext;
+  readonly #countsDraining: boolean;
+  /** Number of unavailable tasks of each step that was counted. */
+  readonly #unavailableCounts = new Map<StepRun, number>();
 
-/**
- * Whether the disruption budget of a persistent task's step allows stopping it on a draining target
- * before it has to leave. Ready tasks on other draining targets do not count, or each would wait
- * for the others.
- */
-export function canStopOnDrainingTarget(context: OwnerContext, { task }: Assignment): boolean {
-  return hasBudget(task, (other) => isKnownReady(context, other));
-}
+  /**
+   * With `countsDraining`, ready tasks on draining targets count as unavailable, since they leave soon. Without it
+   * they do not, as for tasks on draining targets themselves: each would wait for the others.
+   */
+  constructor(context: OwnerContext, { countsDraining }: { readonly countsDraining: boolean }) {
+    this.#context = context;
+    this.#countsDraining = countsDraining;
+  }
 
-function hasBudget(task: TaskRun, isAvailable: (other: TaskRun) => boolean): boolean {
-  const { step } = task;
-  const unavailableCount = step.tasks.filter(
-    (other) => other !== task && !isAvailable(other),
-  ).length;
-  return canDisrupt({ budget: step.definition.disruptionBudget, unavailableCount });
-}
+  /** Whether the budget allows stopping a task. */
+  canStop({ task }: Assignment): boolean {
+    const { step } = task;
+    const known = this.#unavailableCounts.get(step);
+    const total = known ?? this.#countUnavailable(step);
+    if (known === undefined) this.#unavailableCounts.set(step, total);
+    const unavailableCount = this.#isAvailable(task) ? total : total - 1;
+    return canDisrupt({ budget: step.definition.disruptionBudget, unavailableCount });
+  }
 
-/** Whether a task is known to be in service; one whose target is silent may not be. */
-function isKnownReady(context: OwnerContext, task: TaskRun): boolean {
-  return task.attempts.some((attempt) => isAttemptReady(context, attempt));
-}
+  /** Records that a task is stopped, before its run is. */
+  recordStop({ task }: Assignment): void {
+    const known = this.#unavailableCounts.get(task.step);
+    if (known !== undefined && this.#isAvailable(task))
+      this.#unavailableCounts.set(task.step, known + 1);
+  }
 
-function isOnDrainingTarget({ fleet }: OwnerContext, task: TaskRun): boolean {
-  return task.attempts.some(
-    ({ targetId }) => fleet.find(targetId)?.entry.state === TargetState.Draining,
-  );
-}
+  #countUnavailable(step: StepRun): number {
+    let available = 0;
+    for (const task of step.activeTasks) if (this.#isAvailable(task)) available += 1;
+    return step.count - available;
+  }
+
+  /** Whether a task is known to be in service; one whose target is silent may not be. */
+  #isAvailable(task: TaskRun): boolean {
+    const { attempts } = task;
+    if (!attempts.some((attempt) => this.#isReady(attempt))) return false;
+    return !(this.#countsDraining && attempts.some((attempt) => this.#isDraining(attempt)));
+  }
+
+  #isDraining({ targetId }: Attempt): boolean {
+    return this.#context.fleet.find(targetId)?.entry.state === TargetState.Draining;
+  }
 
-function isAttemptReady({ fleet }: OwnerContext, attempt: Attempt): boolean {
-  if (attempt.phase !== AttemptPhase.Running || attempt.percent < READY_PERCENT) return false;
-  const target = fleet.find(attempt.targetId);
-  if (target?.reportedAt === undefined || target.unansweredCalls > 0) return false;
-  return target.reportedAt >= attempt.readyNotBefore;
+  #isReady(attempt: Attempt): boolean {
+    if (attempt.phase !== AttemptPhase.Running || attempt.percent < READY_PERCENT) return false;
+    const target = this.#context.fleet.find(attempt.targetId);
+    if (target?.reportedAt === undefined || target.unansweredCalls > 0) return false;
+    return target.reportedAt >= attempt.readyNotBefore;
+  }
 }
--- a/packages/execution/src/drainer.ts
+++ b/packages/execution/src/drainer.ts
@@ -1,7 +1,7 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import { TargetState } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
-import { canStopOnDrainingTarget } from './disruption-budget.ts';
+import { DisruptionSurvey } from './disruption-budget.ts';
 import type { RunOrders } from './run-orders.ts';
 import type { Assignment, TargetRecord } from './target-record.ts';
 
@@ -20,14 +20,16 @@
    * case before the target is gone, and checkpointing tasks that would not end in the remaining time.
    */
   sweep(): void {
+    const survey = new DisruptionSurvey(this.#context, { countsDraining: false });
     for (const target of this.#context.fleet.targets) {
       if (target.entry.state !== TargetState.Draining) continue;
       target.drainingSince ??= this.#context.clock.now;
-      for (const assignment of [...target.assignments]) this.#stopIfNeeded(target, assignment);
+      for (const assignment of [...target.assignments])
+        this.#stopIfNeeded(target, assignment, survey);
     }
   }
 
-  #stopIfNeeded(target: TargetRecord, assignment: Assignment): void {
+  #stopIfNeeded(target: TargetRecord, assignment: Assignment, survey: DisruptionSurvey): void {
     const { clock, durations, bounds } = this.#context;
     const { task, attempt } = assignment;
     if (attempt.phase !== AttemptPhase.Running) return;
@@ -36,7 +38,8 @@
     const remainingDrainMs = (target.entry.remainingMs ?? 0) - drainingMs;
     const isLeavingSoon = remainingDrainMs < bounds.stopMs * 2;
     if (step.isPersistent) {
-      if (isLeavingSoon || canStopOnDrainingTarget(this.#context, assignment)) {
+      if (isLeavingSoon || survey.canStop(assignment)) {
+        survey.recordStop(assignment);
         this.#orders.stop(assignment, 'target drains');
       }
       return;
--- a/packages/execution/src/placement-requests.ts
+++ b/packages/execution/src/placement-requests.ts
@@ -22,3 +22,10 @@
     countOn: (targetId) => step.countAttemptsOn(targetId),
   };
 }
+
+/** Builds the request of a gang, which avoids each target on which a member has failed. */
+export function buildGangRequest(context: OwnerContext, step: StepRun): PlacementRequest {
+  const failedOn = new Set<string>();
+  for (const task of step.records) for (const id of task.failedOn) failedOn.add(id);
+  return { ...buildStepRequest(context, step), failedOn };
+}
--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -1,9 +1,10 @@
 import type { Occurrence, StepRun, TaskRun } from '@currantgap/jobs';
 import type { Resources } from '@currantgap/model';
 import {
+  chooseGangTargets,
   chooseTarget,
   getFootprint,
-  hasRoom,
+  ResourceSum,
   RoomCheck,
   type PlacementRequest,
 } from '@currantgap/scheduling';
@@ -12,7 +13,7 @@
 import { getWallNow, listPossibleServices, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
 import { computeJobTiming, type JobTiming } from './job-timing.ts';
-import { buildPlacementRequest, buildStepRequest } from './placement-requests.ts';
+import { buildGangRequest, buildStepRequest } from './placement-requests.ts';
 import { LateStarts } from './late-starts.ts';
 import { PoolShares, type WaitingStep } from './pool-shares.ts';
 import type { Quarantine } from './quarantine.ts';
@@ -226,53 +227,37 @@
 
   /** Starts all tasks of a gang, or none if one of them has no target. */
   #placeGang(step: StepRun, open: readonly TargetRecord[]): PlacementResult {
-    const { now } = this.#context.clock;
-    if (step.tasks.some((task) => task.isActive || !task.isWaiting(now))) return BLOCKED;
-    if (step.tasks.some((task) => this.#lateStarts.isBound(task))) return BLOCKED;
+    for (const task of step.records) if (this.#lateStarts.isBound(task)) return BLOCKED;
     const { request, count } = step.definition;
     if (!this.#caps.isWithin(step, computeProduct(request, count))) return BLOCKED;
-    const racks = new Map<string, TargetRecord[]>();
-    for (const target of open) racks.set(target.rack, [...(racks.get(target.rack) ?? []), target]);
-    const groups = step.definition.isSameRack ? [...racks.values(), open] : [open];
-    for (const group of groups) {
-      const targets = this.#chooseGangTargets(step, group);
-      if (targets === undefined) continue;
-      const [first] = step.tasks;
-      if (first === undefined) return BLOCKED;
-      const run = takeRunNumber(this.#context, first);
-      const checkpoint = step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
-      for (const [index, task] of step.tasks.entries()) {
-        const target = targets[index];
-        if (target === undefined) continue;
-        task.checkpoint = checkpoint;
-        this.#orders.start(task, target, run, this.#advice.getTicket(step, target.id));
-      }
-      return { placedCount: count, isBlocked: false };
+    const targets = this.#chooseGangTargets(step, open);
+    if (targets === undefined) return BLOCKED;
+    const { tasks } = step;
+    const [first] = tasks;
+    if (first === undefined) return BLOCKED;
+    const run = takeRunNumber(this.#context, first);
+    const checkpoint = tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? '';
+    for (const [index, task] of tasks.entries()) {
+      const target = targets[index];
+      if (target === undefined) continue;
+      task.checkpoint = checkpoint;
+      this.#orders.start(task, target, run, this.#advice.getTicket(step, target.id));
     }
-    return BLOCKED;
+    return { placedCount: count, isBlocked: false };
   }
 
-  /** Chooses a target for each task of a gang without reserving resources. */
-  #chooseGangTargets(step: StepRun, group: readonly TargetRecord[]): TargetRecord[] | undefined {
-    const footprint = getFootprint(step.definition);
-    const plannedCounts = new Map<string, number>();
-    const chosen: TargetRecord[] = [];
-    for (const task of step.tasks) {
-      const candidates = group.filter((target) =>
-        hasRoom(
-          target.capacity,
-          addScaled(target.used, footprint, plannedCounts.get(target.id) ?? 0),
-          footprint,
-        ),
-      );
-      const request = buildPlacementRequest(this.#context, task);
-      const countOn = (id: string): number => request.countOn(id) + (plannedCounts.get(id) ?? 0);
-      const target = chooseTarget({ ...request, countOn }, candidates);
-      if (target === undefined) return undefined;
-      plannedCounts.set(target.id, (plannedCounts.get(target.id) ?? 0) + 1);
-      chosen.push(target);
+  /** Chooses the targets of a gang's tasks: on one rack if the step asks for it and one has room. */
+  #chooseGangTargets(
+    step: StepRun,
+    open: readonly TargetRecord[],
+  ): readonly TargetRecord[] | undefined {
+    const { count, isSameRack } = step.definition;
+    const request = buildGangRequest(this.#context, step);
+    for (const group of isSameRack ? [...groupByRack(open), open] : [open]) {
+      const targets = chooseGangTargets(request, count, group);
+      if (targets !== undefined) return targets;
     }
-    return chosen;
+    return undefined;
   }
 }
 
@@ -312,14 +297,18 @@
   return true;
 }
 
-function computeProduct(amount: Resources, factor: number): Resources {
-  return addScaled({ cpuMillis: 0, memoryMb: 0, gpus: 0 }, amount, factor);
+function groupByRack(targets: readonly TargetRecord[]): Iterable<readonly TargetRecord[]> {
+  const racks = new Map<string, TargetRecord[]>();
+  for (const target of targets) {
+    const rack = racks.get(target.rack);
+    if (rack === undefined) racks.set(target.rack, [target]);
+    else rack.push(target);
+  }
+  return racks.values();
 }
 
-function addScaled(base: Resources, amount: Resources, factor: number): Resources {
-  return {
-    cpuMillis: base.cpuMillis + amount.cpuMillis * factor,
-    memoryMb: base.memoryMb + amount.memoryMb * factor,
-    gpus: base.gpus + amount.gpus * factor,
-  };
+function computeProduct(amount: Resources, factor: number): Resources {
+  const sum = new ResourceSum();
+  sum.add(amount, factor);
+  return sum;
 }
--- a/packages/execution/src/vm-controller.ts
+++ b/packages/execution/src/vm-controller.ts
@@ -1,7 +1,7 @@
 import { AttemptPhase } from '@currantgap/jobs';
 import { VmState, type Vm } from '@currantgap/model';
 import type { OwnerContext } from './context.ts';
-import { canStopPersistent } from './disruption-budget.ts';
+import { DisruptionSurvey } from './disruption-budget.ts';
 import type { RunOrders } from './run-orders.ts';
 import { VmOrderOutcome, type VmPort } from './ports.ts';
 import type { ReportProcessor } from './report-processor.ts';
@@ -232,8 +232,9 @@
         this.abandonPlan(operation.vm, 'not drained in time');
         return;
       }
+      const survey = new DisruptionSurvey(this.#context, { countsDraining: true });
       for (const target of targets)
-        for (const assignment of [...target.assignments]) this.#relocate(assignment);
+        for (const assignment of [...target.assignments]) this.#relocate(assignment, survey);
       return;
     }
     if (!this.#vmOrders.canSendFor(operation.vm)) return;
@@ -268,11 +269,12 @@
   }
 
   /** Stops a persistent task if its disruption budget allows it; it restarts on another target. */
-  #relocate(assignment: Assignment): void {
+  #relocate(assignment: Assignment, survey: DisruptionSurvey): void {
     const { task, attempt } = assignment;
     if (!task.step.definition.isPersistent || attempt.phase !== AttemptPhase.Running) return;
-    if (canStopPersistent(this.#context, assignment))
-      this.#orders.stop(assignment, 'VM is emptied');
+    if (!survey.canStop(assignment)) return;
+    survey.recordStop(assignment);
+    this.#orders.stop(assignment, 'VM is emptied');
   }
 
   /** Records that a move was carried out although its order was not answered. */
--- a/packages/execution/test/sweepers.test.ts
+++ b/packages/execution/test/sweepers.test.ts
@@ -3,7 +3,7 @@
 import { AttemptPhase, type TaskRun } from '@currantgap/jobs';
 import { JobState, TargetState, type Step } from '@currantgap/model';
 import { PageSizer } from '@currantgap/store';
-import { canStopPersistent } from '../src/disruption-budget.ts';
+import { DisruptionSurvey } from '../src/disruption-budget.ts';
 import { JobPurger } from '../src/job-purger.ts';
 import { Drainer } from '../src/drainer.ts';
 import {
@@ -85,7 +85,8 @@
 
   it('counts that task as unavailable, so that a planned stop waits', () => {
     const { harness, assignment } = createStep(5_000);
-    assert.equal(canStopPersistent(harness.context, assignment), false);
+    const survey = new DisruptionSurvey(harness.context, { countsDraining: true });
+    assert.equal(survey.canStop(assignment), false);
   });
 
   it('lets that task go on while a planned stop uses up the budget', () => {
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,4 +1,5 @@
 export * from './copies.ts';
+export * from './gang-placement.ts';
 export * from './health.ts';
 export * from './order.ts';
 export * from './pacing.ts';
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -79,7 +79,8 @@
   return step.antiAffinity <= 0 || request.countOn(candidate.id) < step.antiAffinity;
 }
 
-function computeCost(request: PlacementRequest, candidate: Candidate): number {
+/** Computes the cost of a task on a target, the lower the better. */
+export function computeCost(request: PlacementRequest, candidate: Candidate): number {
   const { step, remoteFactor } = request;
   let cost = candidate.slowness;
   if (step.dataRack !== undefined && step.dataRack !== candidate.rack) cost *= remoteFactor;
