fix(execution): a start on a target that is gone keeps its task no longer than callers expect

Cause: a start without an answer kept its task until 16 s after itself if that was later than the last submission, whatever the registry said of its target.

Why it works: by the protocol a target whose entry is missing for 2 s is gone and runs nothing. From 16 s after the last submission on, its starts and runs keep no task any more once the granted leases are over, in the term of the owner and after a take-over, for gangs, restarted targets and bound tasks as well. While submissions arrive nothing changes. The bounds of TWICE and LOST stand beside the constant.

--- a/packages/execution/src/awaited-target.ts
+++ b/packages/execution/src/awaited-target.ts
@@ -62,6 +62,12 @@
     this.#absentSince = undefined;
   }
 
+  /** Whether the target is gone by the protocol, and the leases are over that it was granted. */
+  isGone(now: number): boolean {
+    if (this.#absentSince === undefined) return false;
+    return now > Math.max(this.#grantsEndAt, this.#absentSince + REGISTRATION_RETURN_MS);
+  }
+
   /** Whether a later target on the VM shows that this one has ended. */
   isReplacedBy(id: string, vm: string, bornAt: number): boolean {
     const { description } = this;
@@ -88,10 +94,8 @@
    * longer: it is gone, and so are the leases that it was granted.
    */
   isOutageOver(now: number, task = ''): boolean {
-    if (this.#absentSince === undefined) return false;
     const outageEndsAt = (this.#startedAt.get(task) ?? -Infinity) + MAXIMUM_OUTAGE_MS;
-    const goneAt = this.#absentSince + REGISTRATION_RETURN_MS;
-    return now > Math.max(this.#grantsEndAt, outageEndsAt, goneAt);
+    return this.isGone(now) && now > outageEndsAt;
   }
 }
 
--- a/packages/execution/src/call-timing.ts
+++ b/packages/execution/src/call-timing.ts
@@ -22,7 +22,9 @@
 /**
  * Milliseconds after the last submission, or after its own start, for which a task is kept from starting
  * elsewhere by a start without an answer. Callers expect each task that can run to run 17 s after the last
- * submission at the latest.
+ * submission at the latest: `finish_s` and 3 s (LOST). Until `LATEST_EXECUTION_MS` after the start, and the longest
+ * lease after that, an incarnation that nobody sees may run the task (TWICE). Where the two overlap, the protocol
+ * decides: a target that is gone runs nothing, so that its own start does not prolong the wait.
  */
 export const MAXIMUM_WAIT_MS = 16_000;
 /** Milliseconds within which the entry of a target that is up returns to the registry, as the protocol says. */
--- a/packages/execution/src/reconciliation.ts
+++ b/packages/execution/src/reconciliation.ts
@@ -208,10 +208,12 @@
   #buildPending(now: number): readonly LeasedTarget[] {
     const computeEnd = (startedAt: number): number => this.#computeLateEnd(startedAt);
     const isWaitOver = now >= Math.max(this.#deadline, this.#computeWaitEnd());
+    // Its own start does not prolong the wait for a target that is gone.
+    const isLate = (awaited: AwaitedTarget): boolean => !(isWaitOver && awaited.isGone(now));
     return [...this.#pending.values()].flatMap((awaited) => {
       const { description } = awaited;
       if (awaited.isLeased(now) && !isWaitOver) return [description];
-      const tasks = awaited.listLateTasks(now, computeEnd);
+      const tasks = isLate(awaited) ? awaited.listLateTasks(now, computeEnd) : [];
       return tasks.length > 0 ? [{ ...description, tasks, unanswered: tasks }] : [];
     });
   }
