perf(execution): what silent targets may run is looked up once for a computation

The caps of teams and their loads asked for it for each job or step, at another time each, so that the index of all silent targets was built as often.

--- a/packages/execution/src/planner.ts
+++ b/packages/execution/src/planner.ts
@@ -160,7 +160,7 @@
       ? reconciliation.isPoolAwaited(services, now, isPersistent)
       : !reconciliation.canStartNew(services, now);
     if (isAwaited) return undefined;
-    const isRestricted = record.isInherited && reconciliation.listPending(now).length > 0;
+    const isRestricted = record.isInherited && reconciliation.getPending(now).targets.length > 0;
     const isStartable = (name: string): boolean =>
       !unresolved.has(name) &&
       (!isRestricted || reconciliation.canStartInherited(name, services, now, isPersistent));
--- a/packages/execution/src/team-loads.ts
+++ b/packages/execution/src/team-loads.ts
@@ -5,6 +5,7 @@
 import { getFootprint, ResourceSum } from '@currantgap/scheduling';
 import { getWallNow, type OwnerContext } from './context.ts';
 import type { JobRecord } from './job-index.ts';
+import type { PendingRuns } from './pending-runs.ts';
 
 /** Weight of work without a team, or of a team that the configuration does not name. */
 const DEFAULT_WEIGHT = 1;
@@ -78,6 +79,7 @@
   newSince: number,
 ): void {
   const wallNow = getWallNow();
+  const pending = context.reconciliation.getPending(context.clock.now);
   for (const record of context.active.values()) {
     const { job, route } = record;
     if (route === undefined || job.isPersistent) continue;
@@ -87,7 +89,7 @@
       if (!isOnTime(context, record, occurrence, wallNow)) continue;
       for (const step of occurrence.steps) {
         const count = record.isInherited
-          ? countWaiting(context, step, [route.service])
+          ? countWaiting(pending, step, [route.service])
           : step.waitingCount;
         if (count === 0) continue;
         const request = computeProduct(getFootprint(step.definition), count);
@@ -116,12 +118,7 @@
 }
 
 /** Counts the tasks of a step of an earlier term that surely wait: those that no target may run unreported. */
-function countWaiting(
-  { clock, reconciliation }: OwnerContext,
-  step: StepRun,
-  services: readonly string[],
-): number {
-  const pending = reconciliation.getPending(clock.now);
+function countWaiting(pending: PendingRuns, step: StepRun, services: readonly string[]): number {
   if (pending.isAnyAwaited(services, false)) return 0;
   let count = step.waitingCount;
   for (const name of pending.getTasks(step.name)) {
