fix(execution): run numbers of a term do not reach those of the next one

Callers would see: after a take-over, tasks of a step with more than 10,000 tasks are rejected as old where they ran before, or stopped as if a newer run went on.

Cause: 10,000 run numbers a term, counted for each step, and steps of up to 17,500 tasks.

Why it works: 10,000,000 numbers a term are more than a step of the largest submission has starts in one.

--- a/packages/execution/src/run-orders.ts
+++ b/packages/execution/src/run-orders.ts
@@ -22,8 +22,11 @@
  */
 const MAXIMUM_UNANSWERED_STOPS = 2_000;
 const MAXIMUM_UNANSWERED_STOPS_ON_TARGET = 250;
-/** Run numbers per epoch, so that a successor's exceed those of starts that it does not know of. */
-const RUNS_PER_EPOCH = 10_000;
+/**
+ * Run numbers per epoch, so that a successor's exceed those of starts that it does not know of: more than a step of
+ * the largest submission has starts in one term.
+ */
+const RUNS_PER_EPOCH = 10_000_000;
 
 /** Takes the next run number of the task's step. */
 export function takeRunNumber(context: OwnerContext, task: TaskRun): number {
--- a/packages/execution/test/large-submissions.test.ts
+++ b/packages/execution/test/large-submissions.test.ts
@@ -8,7 +8,7 @@
 import { Quarantine } from '../src/quarantine.ts';
 import { ReportProcessor } from '../src/report-processor.ts';
 import { RunExpiry } from '../src/run-expiry.ts';
-import { buildAttempt, RunOrders } from '../src/run-orders.ts';
+import { buildAttempt, RunOrders, takeRunNumber } from '../src/run-orders.ts';
 import {
   createReport,
   createRunning,
@@ -95,6 +95,19 @@
     assert.ok(targetPort.stops.length <= 250, `${targetPort.stops.length} stops`);
   });
 
+  // The class of review case 12: a step with more than 10,000 tasks had used up the run numbers of the next owner.
+  it('gives each start a higher number than all starts of earlier terms', () => {
+    const pool = new Pool();
+    const [step] = pool.addJob(ID, [{ count: 17_000, request: SMALL }]).listWaitingSteps(0);
+    const [task] = step?.listWaiting(0, { limit: 1 }) ?? [];
+    assert.ok(task);
+    task.step.startCount = 16_999;
+    const last = takeRunNumber(pool.context, task);
+    task.step.startCount = 0;
+    const term = { ...pool.context.term, epoch: pool.context.term.epoch + 1 };
+    assert.ok(takeRunNumber({ ...pool.context, term }, task) > last);
+  });
+
   // The class of review case 13: each task was compared with all others of its step, whenever a target drained.
   it('counts the available tasks of a step once for all decisions of a sweep', () => {
     const pool = new Pool();
