--- a/packages/execution/src/fence-prober.ts
+++ b/packages/execution/src/fence-prober.ts
@@ -41,7 +41,7 @@
       this.#sentCount += 1;
       if (target !== undefined) this.#probe(target);
     }
-    this.#timer ??= setTimeout(() => {
+    this.#timer = setTimeout(() => {
       this.#timer = undefined;
       this.#context.post({ kind: 'probe' });
     }, PROBE_INTERVAL_MS);
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -9,10 +9,13 @@
  * than run at the same time, and few enough that their progress fits into the rows of one transaction.
  */
 const MAXIMUM_OPEN_TASKS = 2_000;
-/** Waiting tasks of a schedule of persistent tasks beyond which no further due occurrence is opened: more than one pass starts. */
+/**
+ * Waiting tasks of a schedule of persistent tasks beyond which no further due occurrence is opened: more than one
+ * planning pass starts.
+ */
 const MAXIMUM_WAITING_TASKS = 1_000;
 
-/** Tasks that a job may have at the same time: the progress of more would not fit into the rows of one transaction. */
+/** Tasks that a job may have at the same time; the progress of more has no room in one transaction. */
 export const MAXIMUM_TASKS = 17_500;
 
 /**
@@ -86,7 +89,7 @@
     return this.stored.submission.iterations > 0;
   }
 
-  /** Opens the occurrences that are due, as many as may be open at the same time; `wallNow` is in Unix milliseconds. */
+  /** Opens the due occurrences, as many as may be open at the same time; `wallNow` is in Unix milliseconds. */
   openDueOccurrences(wallNow: number): void {
     const { iterations, firstRunAt, intervalMs } = this.stored.submission;
     if (this.isEnded) return;
--- a/packages/jobs/src/step.ts
+++ b/packages/jobs/src/step.ts
@@ -72,10 +72,6 @@
     return this.#active;
   }
 
-  get activeCount(): number {
-    return this.#active.size;
-  }
-
   /** Number of tasks that are not done. */
   get openTaskCount(): number {
     return this.count - this.doneTasks.size;
